--- a/admin/handler.go
+++ b/admin/handler.go
@@ -14,7 +14,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/client"
 	"github.com/lacewingsaddle/lacewingsaddle/command"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -124,7 +124,7 @@
 	answer(c, out, err)
 }
 
-func offsetOf(s string) (platform.Offset, error) {
+func offsetOf(s string) (tlog.Offset, error) {
 	if s == "" {
 		return 0, nil
 	}
@@ -132,7 +132,7 @@
 	if err != nil {
 		return 0, fault.Newf(fault.BadRequest, "%q is no version or offset", s)
 	}
-	return platform.Offset(n), nil
+	return tlog.Offset(n), nil
 }
 
 func (d Deps) documents(g *gin.RouterGroup) {
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Arguments are the operators' subcommands and the options that they share.
@@ -78,15 +78,15 @@
 // ShowCmd prints a document.
 type ShowCmd struct {
 	Name      string          `arg:"positional,required"`
-	Version   platform.Offset `arg:"--version" help:"an earlier version"`
+	Version   tlog.Offset `arg:"--version" help:"an earlier version"`
 	Effective bool            `arg:"--effective" help:"with every default"`
 }
 
 // DiffCmd compares versions.
 type DiffCmd struct {
 	Name string          `arg:"positional,required"`
-	From platform.Offset `arg:"positional,required"`
-	To   platform.Offset `arg:"positional" help:"default: the current version"`
+	From tlog.Offset `arg:"positional,required"`
+	To   tlog.Offset `arg:"positional" help:"default: the current version"`
 }
 
 // HistoryCmd lists versions.
@@ -98,8 +98,8 @@
 type RollbackCmd struct {
 	Writing
 	Name string          `arg:"positional,required"`
-	To   platform.Offset `arg:"--to,required" placeholder:"VERSION"`
-	Base platform.Offset `arg:"--base,required" placeholder:"VERSION" help:"the current version that you saw"`
+	To   tlog.Offset `arg:"--to,required" placeholder:"VERSION"`
+	Base tlog.Offset `arg:"--base,required" placeholder:"VERSION" help:"the current version that you saw"`
 }
 
 // StatusCmd prints the status.
--- a/cli/documents.go
+++ b/cli/documents.go
@@ -9,7 +9,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/command"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -98,8 +98,8 @@
 }
 
 // parseBases reads VERSION and NAME=VERSION; the former has an empty name.
-func parseBases(list []string) (map[string]platform.Offset, error) {
-	out := map[string]platform.Offset{}
+func parseBases(list []string) (map[string]tlog.Offset, error) {
+	out := map[string]tlog.Offset{}
 	for _, text := range list {
 		name, version, named := strings.Cut(text, "=")
 		if !named {
@@ -109,7 +109,7 @@
 		if err != nil {
 			return nil, fault.Newf(fault.BadRequest, "--base %q is neither VERSION nor NAME=VERSION", text)
 		}
-		out[name] = platform.Offset(n)
+		out[name] = tlog.Offset(n)
 	}
 	return out, nil
 }
--- a/client/client.go
+++ b/client/client.go
@@ -17,7 +17,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/command"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -178,7 +178,7 @@
 }
 
 // Progress returns how far a change has come.
-func (c *Client) Progress(ctx context.Context, stream string, offset platform.Offset) (command.Progress, error) {
+func (c *Client) Progress(ctx context.Context, stream string, offset tlog.Offset) (command.Progress, error) {
 	path := "/v1/progress/" + url.PathEscape(stream) + "/" + number(offset)
 	return get[command.Progress](ctx, c, path, nil)
 }
@@ -228,7 +228,7 @@
 }
 
 // Document returns a version of a document; 0 means the current one.
-func (c *Client) Document(ctx context.Context, kind profile.DocumentKind, name string, version platform.Offset) (query.Document, error) {
+func (c *Client) Document(ctx context.Context, kind profile.DocumentKind, name string, version tlog.Offset) (query.Document, error) {
 	return get[query.Document](ctx, c, documentPath(kind, name), values("version", number(version)))
 }
 
@@ -238,7 +238,7 @@
 }
 
 // Diff compares two versions of a document.
-func (c *Client) Diff(ctx context.Context, kind profile.DocumentKind, name string, from, to platform.Offset) (query.Diff, error) {
+func (c *Client) Diff(ctx context.Context, kind profile.DocumentKind, name string, from, to tlog.Offset) (query.Diff, error) {
 	q := values("from", number(from), "to", number(to))
 	return get[query.Diff](ctx, c, documentPath(kind, name)+"/diff", q)
 }
@@ -253,7 +253,7 @@
 	return get[query.Audit](ctx, c, "/v1/audit", q)
 }
 
-func number(o platform.Offset) string { return strconv.FormatUint(uint64(o), 10) }
+func number(o tlog.Offset) string { return strconv.FormatUint(uint64(o), 10) }
 
 // values builds a query from names and values and leaves out empty values.
 func values(pairs ...string) url.Values {
--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -17,7 +17,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fleet"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -58,7 +58,7 @@
 }
 
 // publish publishes doc from a host and waits until it is in force everywhere.
-func publish(t *testing.T, h *fleet.Host, doc profile.Document, base platform.Offset) (command.Result, time.Duration) {
+func publish(t *testing.T, h *fleet.Host, doc profile.Document, base tlog.Offset) (command.Result, time.Duration) {
 	start := time.Now()
 	r, err := h.Command.Publish(t.Context(), command.Publish{By: by(""), Document: doc.Source, Base: base})
 	require.NoError(t, err)
@@ -160,23 +160,23 @@
 func TestInForceNeverReverts(t *testing.T) {
 	cases := []struct {
 		name string
-		fail func(t *testing.T, f *fleet.Fleet, version platform.Offset)
+		fail func(t *testing.T, f *fleet.Fleet, version tlog.Offset)
 	}{
-		{"restart of every host, one by one", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"restart of every host, one by one", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			for i := range f.Hosts {
 				f.Crash(i)
 				f.Start(i)
 				time.Sleep(settle)
 			}
 		}},
-		{"a rolling restart without planned stops, twice", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"a rolling restart without planned stops, twice", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			for i := range 2 * len(f.Hosts) {
 				f.Crash(i % len(f.Hosts))
 				f.Start(i % len(f.Hosts))
 				time.Sleep(settle)
 			}
 		}},
-		{"every host at once", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"every host at once", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			for i := range f.Hosts {
 				f.Crash(i)
 			}
@@ -186,44 +186,44 @@
 			}
 			time.Sleep(settle)
 		}},
-		{"a replaced host", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"a replaced host", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			f.Crash(4)
 			f.Start(4)
 		}},
-		{"a log outage", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"a log outage", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			f.Log.SetOutage(true)
 			time.Sleep(2 * retention)
 			f.Log.SetOutage(false)
 		}},
-		{"a restart in a log outage", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"a restart in a log outage", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			f.Log.SetOutage(true)
 			f.Crash(2)
 			f.Start(2)
 			time.Sleep(settle)
 		}},
-		{"expired records and restarts", func(t *testing.T, f *fleet.Fleet, version platform.Offset) {
+		{"expired records and restarts", func(t *testing.T, f *fleet.Fleet, version tlog.Offset) {
 			time.Sleep(retention)
-			f.Log.Expire(platform.ProfileStream, version+1)
+			f.Log.Expire(tlog.ProfileStream, version+1)
 			for i := range f.Hosts {
 				f.Crash(i)
 				f.Start(i)
 				time.Sleep(settle)
 			}
 		}},
-		{"a re-append of the old version", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
-			f.Log.Put(platform.ProfileStream, f.Log.Records(platform.ProfileStream)[0].Data)
+		{"a re-append of the old version", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
+			f.Log.Put(tlog.ProfileStream, f.Log.Records(tlog.ProfileStream)[0].Data)
 		}},
-		{"a late append against the old version", func(t *testing.T, f *fleet.Fleet, _ platform.Offset) {
+		{"a late append against the old version", func(t *testing.T, f *fleet.Fleet, _ tlog.Offset) {
 			doc := withQueue(documents(t, "arrieta/profiles/inventario.yaml")[0], 1)
 			data, err := profile.RecordOf(doc, "late", "ben", "written long ago", 1).Encode()
 			require.NoError(t, err)
-			f.Log.Put(platform.ProfileStream, data)
+			f.Log.Put(tlog.ProfileStream, data)
 		}},
-		{"an invalid version written by hand", func(t *testing.T, f *fleet.Fleet, version platform.Offset) {
+		{"an invalid version written by hand", func(t *testing.T, f *fleet.Fleet, version tlog.Offset) {
 			p := profile.Profile{Name: "stock"}
 			data, err := profile.Record{ID: "hand", Kind: profile.ProfileDocument, Name: "stock", Base: version, Profile: &p}.Encode()
 			require.NoError(t, err)
-			f.Log.Put(platform.ProfileStream, data)
+			f.Log.Put(tlog.ProfileStream, data)
 		}},
 	}
 	for _, tc := range cases {
--- a/command/ownership.go
+++ b/command/ownership.go
@@ -7,7 +7,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -171,7 +171,7 @@
 	var effect Effect
 	effect.setMoves([]PlannedMove{{From: from, To: to, Count: 1, Cause: by.Reason}}, t.service, s.profileOf(t.service))
 	if by.DryRun {
-		return Result{ID: by.ID, Stream: platform.OwnershipStream(s.cell), Subject: subject, State: DryRun, Effect: effect}, nil
+		return Result{ID: by.ID, Stream: tlog.OwnershipStream(s.cell), Subject: subject, State: DryRun, Effect: effect}, nil
 	}
 	result, err := s.submit(ctx, ownership.Record{
 		ID: by.ID, Author: ownership.MemberID(by.Author), Cause: by.Reason, Kind: ownership.AssignRecord, Assign: a,
@@ -220,7 +220,7 @@
 	}
 	subject := c.Service + "/" + c.Server
 	if c.DryRun {
-		return Result{ID: c.ID, Stream: platform.OwnershipStream(s.cell), Subject: subject, State: DryRun, Effect: effect}, nil
+		return Result{ID: c.ID, Stream: tlog.OwnershipStream(s.cell), Subject: subject, State: DryRun, Effect: effect}, nil
 	}
 	result, err := s.submit(ctx, ownership.Record{
 		ID: c.ID, Author: ownership.MemberID(c.Author), Cause: c.Reason, Kind: kind, Drain: &d, Base: state.DrainBase[d],
@@ -270,7 +270,7 @@
 	}
 	subject := fmt.Sprint(c.Members)
 	if c.DryRun {
-		return Result{ID: c.ID, Stream: platform.OwnershipStream(s.cell), Subject: subject, State: DryRun}, nil
+		return Result{ID: c.ID, Stream: tlog.OwnershipStream(s.cell), Subject: subject, State: DryRun}, nil
 	}
 	result, err := s.submit(ctx, record)
 	result.Subject = subject
--- a/command/progress.go
+++ b/command/progress.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // DomainProgress is how many members of one failure domain have applied a change.
@@ -21,7 +21,7 @@
 // Progress is how far a change has come in each failure domain.
 type Progress struct {
 	Stream  string           `json:"stream"`
-	Offset  platform.Offset  `json:"offset"`
+	Offset  tlog.Offset  `json:"offset"`
 	InForce bool             `json:"in_force"`
 	Domains []DomainProgress `json:"domains"`
 }
@@ -29,8 +29,8 @@
 // Progress returns how far the record at offset of stream has come. It is in
 // force once every member of every failure domain has acknowledged it, and for
 // a record of the ownership stream once it is also active on this host.
-func (s *Service) Progress(ctx context.Context, stream string, offset platform.Offset) (Progress, error) {
-	if stream != platform.ProfileStream && stream != platform.OwnershipStream(s.cell) {
+func (s *Service) Progress(ctx context.Context, stream string, offset tlog.Offset) (Progress, error) {
+	if stream != tlog.ProfileStream && stream != tlog.OwnershipStream(s.cell) {
 		return Progress{}, fault.Newf(fault.NotFound, "there is no stream %q", stream)
 	}
 	members, err := s.control.Progress(ctx)
@@ -43,7 +43,7 @@
 		d := out.domain(m.Member.Domain)
 		d.Members++
 		applied := m.Ownership
-		if stream == platform.ProfileStream {
+		if stream == tlog.ProfileStream {
 			applied = m.Profiles
 		}
 		if applied >= offset {
@@ -55,7 +55,7 @@
 	}
 	slices.SortFunc(out.Domains, func(a, b DomainProgress) int { return cmp.Compare(a.Domain, b.Domain) })
 	out.InForce = missing == 0 && len(members) > 0
-	if stream != platform.ProfileStream {
+	if stream != tlog.ProfileStream {
 		out.InForce = out.InForce && s.control.Snapshot().View.Active >= offset
 	}
 	return out, nil
@@ -80,7 +80,7 @@
 }
 
 // ProgressFunc returns the progress of a change.
-type ProgressFunc func(ctx context.Context, stream string, offset platform.Offset) (Progress, error)
+type ProgressFunc func(ctx context.Context, stream string, offset tlog.Offset) (Progress, error)
 
 // AwaitWith is Await over any source of progress, such as the admin API.
 func AwaitWith(ctx context.Context, r Result, progress ProgressFunc, report func(Progress)) (Progress, error) {
--- a/command/publish.go
+++ b/command/publish.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -13,7 +13,7 @@
 type Publish struct {
 	By
 	Document string          `json:"document"` // one YAML document
-	Base     platform.Offset `json:"base"`     // the version it builds on; 0 for a new name
+	Base     tlog.Offset `json:"base"`     // the version it builds on; 0 for a new name
 }
 
 // Publish publishes a document. The error is of kind BadProfile when it is
@@ -38,8 +38,8 @@
 	By
 	Kind    profile.DocumentKind `json:"kind"`
 	Name    string               `json:"name"`
-	Version platform.Offset      `json:"version"` // the version to return to
-	Base    platform.Offset      `json:"base"`    // the current version that its author saw
+	Version tlog.Offset      `json:"version"` // the version to return to
+	Base    tlog.Offset      `json:"base"`    // the current version that its author saw
 }
 
 // Rollback publishes an earlier version's text as a new version. The log must
@@ -61,7 +61,7 @@
 	return s.publish(ctx, c.By, docs[0], c.Base)
 }
 
-func (s *Service) publish(ctx context.Context, by By, doc profile.Document, base platform.Offset) (Result, error) {
+func (s *Service) publish(ctx context.Context, by By, doc profile.Document, base tlog.Offset) (Result, error) {
 	record := profile.RecordOf(doc, by.ID, by.Author, by.Reason, base)
 	effect, err := s.publishEffect(ctx, doc)
 	if err != nil {
@@ -72,7 +72,7 @@
 		return Result{}, err
 	}
 	if by.DryRun {
-		return Result{ID: by.ID, Stream: platform.ProfileStream, Subject: subject, State: DryRun, Effect: effect}, nil
+		return Result{ID: by.ID, Stream: tlog.ProfileStream, Subject: subject, State: DryRun, Effect: effect}, nil
 	}
 	result, err := s.submitProfile(ctx, record)
 	if fault.KindOf(err) == fault.Superseded && err != nil {
--- a/command/service.go
+++ b/command/service.go
@@ -12,7 +12,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 )
@@ -78,7 +78,7 @@
 type Result struct {
 	ID      string          `json:"id"`
 	Stream  string          `json:"stream"`
-	Offset  platform.Offset `json:"offset,omitempty"`
+	Offset  tlog.Offset `json:"offset,omitempty"`
 	Subject string          `json:"subject"`
 	State   State           `json:"state"`
 	Effect  Effect          `json:"effect"`
@@ -126,7 +126,7 @@
 	if err != nil {
 		return Result{}, inDoubt(err, r.ID)
 	}
-	result := Result{ID: r.ID, Stream: platform.ProfileStream, Offset: verdict.Offset, State: Accepted}
+	result := Result{ID: r.ID, Stream: tlog.ProfileStream, Offset: verdict.Offset, State: Accepted}
 	if verdict.Void == nil {
 		return result, nil
 	}
@@ -139,7 +139,7 @@
 	return result, nil
 }
 
-func (s *Service) acceptedAs(r profile.Record) (platform.Offset, bool) {
+func (s *Service) acceptedAs(r profile.Record) (tlog.Offset, bool) {
 	c := s.control.Snapshot().Catalog
 	if r.Kind == profile.ProfileDocument {
 		v := c.Profiles[r.Name]
@@ -161,7 +161,7 @@
 	if verdict.Void != nil {
 		return Result{}, verdict.Void
 	}
-	stream := platform.OwnershipStream(s.cell)
+	stream := tlog.OwnershipStream(s.cell)
 	return Result{ID: r.ID, Stream: stream, Offset: verdict.Offset, State: Accepted}, nil
 }
 
--- a/control/actions.go
+++ b/control/actions.go
@@ -8,7 +8,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
@@ -77,7 +77,7 @@
 	if err != nil {
 		return Verdict{}, fault.Wrap(fault.BadRecord, err, "encode record")
 	}
-	return l.submit(ctx, platform.OwnershipStream(l.cfg.Cell), r.ID, data)
+	return l.submit(ctx, tlog.OwnershipStream(l.cfg.Cell), r.ID, data)
 }
 
 // submit appends data until its record shows in the stream. Appending a record
--- a/control/catchup.go
+++ b/control/catchup.go
@@ -10,7 +10,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
@@ -22,8 +22,8 @@
 
 // lag says how far this host is behind what it has heard of.
 type lag struct {
-	ownership platform.Offset
-	catalog   platform.Offset
+	ownership tlog.Offset
+	catalog   tlog.Offset
 	empty     bool // nothing was folded yet
 	gap       bool // the log no longer holds what comes next
 	peers     []string
@@ -96,12 +96,12 @@
 	return l.catalog.Applied > 0 && 2*agree > len(state.Members)
 }
 
-func (l *Loop) total(id ownership.MemberID) platform.Offset {
+func (l *Loop) total(id ownership.MemberID) tlog.Offset {
 	applied, catalog := l.machine.Acknowledged(id)
 	return applied + catalog
 }
 
-func over(a, b platform.Offset) platform.Offset {
+func over(a, b tlog.Offset) tlog.Offset {
 	if a <= b {
 		return 0
 	}
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // grow notes one folded record.
-func (t *tail) grow(r platform.Record, checkpoint bool) {
+func (t *tail) grow(r tlog.Record, checkpoint bool) {
 	if checkpoint || t.since.IsZero() {
 		t.since = r.Time
 	}
@@ -73,7 +73,7 @@
 }
 
 func (l *Loop) writeOwnershipCheckpoint() {
-	stream := platform.OwnershipStream(l.cfg.Cell)
+	stream := tlog.OwnershipStream(l.cfg.Cell)
 	r, err := ask(l.ctx, l, func(now ownership.Instant) *ownership.Record {
 		if !l.mayWrite(now, stream, &l.ownershipTail) {
 			return nil
@@ -92,7 +92,7 @@
 
 func (l *Loop) writeCatalogCheckpoint() {
 	r, err := ask(l.ctx, l, func(now ownership.Instant) *profile.Record {
-		if !l.mayWrite(now, platform.ProfileStream, &l.catalogTail) {
+		if !l.mayWrite(now, tlog.ProfileStream, &l.catalogTail) {
 			return nil
 		}
 		author := string(l.machine.Self().ID)
--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -17,7 +17,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -98,7 +98,7 @@
 	stop()
 }
 
-func startCosted(ctx context.Context, b *testing.B, log platform.Log, sent *atomic.Int64, i int) (*Loop, *peer.Client) {
+func startCosted(ctx context.Context, b *testing.B, log tlog.Log, sent *atomic.Int64, i int) (*Loop, *peer.Client) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	client := peer.NewClient(func(ctx context.Context, addr string) (net.Conn, error) {
@@ -136,9 +136,9 @@
 	for i, r := range records {
 		data, err := r.Encode()
 		require.NoError(b, err)
-		catalog, err = catalog.Apply(platform.Offset(i+1), data)
+		catalog, err = catalog.Apply(tlog.Offset(i+1), data)
 		require.NoError(b, err)
-		log.Put(platform.ProfileStream, data)
+		log.Put(tlog.ProfileStream, data)
 	}
 }
 
--- a/control/folds.go
+++ b/control/folds.go
@@ -8,16 +8,16 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/planner"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
 // ownershipFold folds the ownership stream into the machine.
 type ownershipFold struct{ loop *Loop }
 
-func (f ownershipFold) applied() platform.Offset { return f.loop.machine.State().Applied }
+func (f ownershipFold) applied() tlog.Offset { return f.loop.machine.State().Applied }
 
-func (f ownershipFold) apply(now ownership.Instant, r platform.Record) {
+func (f ownershipFold) apply(now ownership.Instant, r tlog.Record) {
 	l := f.loop
 	record, err := l.machine.ApplyRecord(now, r.Offset, r.Data)
 	l.ownershipTail.grow(r, err == nil && record.Kind == ownership.CheckpointRecord)
@@ -30,7 +30,7 @@
 		zap.String("kind", string(record.Kind)), zap.String("cause", record.Cause))
 }
 
-func (f ownershipFold) checkpoint(r platform.Record) (platform.Offset, func(ownership.Instant) error, bool) {
+func (f ownershipFold) checkpoint(r tlog.Record) (tlog.Offset, func(ownership.Instant) error, bool) {
 	record, err := ownership.DecodeRecord(r.Data)
 	if err != nil || record.Kind != ownership.CheckpointRecord {
 		return 0, nil, false
@@ -50,9 +50,9 @@
 // catalogFold folds the profile stream into the catalog.
 type catalogFold struct{ loop *Loop }
 
-func (f catalogFold) applied() platform.Offset { return f.loop.catalog.Applied }
+func (f catalogFold) applied() tlog.Offset { return f.loop.catalog.Applied }
 
-func (f catalogFold) apply(_ ownership.Instant, r platform.Record) {
+func (f catalogFold) apply(_ ownership.Instant, r tlog.Record) {
 	l := f.loop
 	next, err := l.catalog.Apply(r.Offset, r.Data)
 	if err != nil {
@@ -66,7 +66,7 @@
 	}
 }
 
-func (f catalogFold) checkpoint(r platform.Record) (platform.Offset, func(ownership.Instant) error, bool) {
+func (f catalogFold) checkpoint(r tlog.Record) (tlog.Offset, func(ownership.Instant) error, bool) {
 	record, err := profile.DecodeRecord(r.Data)
 	if err != nil || record.Kind != profile.CheckpointDocument {
 		return 0, nil, false
--- a/control/follower.go
+++ b/control/follower.go
@@ -9,7 +9,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // pollWait is how long one read of a stream waits for a first record.
@@ -18,12 +18,12 @@
 // fold is one stream's state. Its methods run on the control goroutine.
 type fold interface {
 	// applied returns the last offset folded.
-	applied() platform.Offset
+	applied() tlog.Offset
 	// apply folds the record after the last one folded.
-	apply(now ownership.Instant, r platform.Record)
+	apply(now ownership.Instant, r tlog.Record)
 	// checkpoint returns the offset through which r, a checkpoint record, holds
 	// the state, and a function that restores it. ok is false for other records.
-	checkpoint(r platform.Record) (through platform.Offset, restore func(now ownership.Instant) error, ok bool)
+	checkpoint(r tlog.Record) (through tlog.Offset, restore func(now ownership.Instant) error, ok bool)
 	// caughtUp notes that every record that the log had at a read is folded.
 	caughtUp()
 }
@@ -42,8 +42,8 @@
 	// gap is true while records after the folded ones are no longer in the log;
 	// later records are then kept until a checkpoint joins on to them.
 	gap  bool
-	kept []platform.Record
-	next platform.Offset // the next offset to read while gap is true
+	kept []tlog.Record
+	next tlog.Offset // the next offset to read while gap is true
 }
 
 func newFollower(l *Loop, stream string, f fold) *follower {
@@ -54,7 +54,7 @@
 	// The first read does not wait, so that an empty stream is known to be one.
 	wait := time.Duration(0)
 	for f.loop.ctx.Err() == nil {
-		from, err := ask(f.loop.ctx, f.loop, func(ownership.Instant) platform.Offset { return f.from() })
+		from, err := ask(f.loop.ctx, f.loop, func(ownership.Instant) tlog.Offset { return f.from() })
 		if err != nil {
 			return
 		}
@@ -80,7 +80,7 @@
 	})
 }
 
-func (f *follower) read(from platform.Offset, wait time.Duration) (platform.Batch, error) {
+func (f *follower) read(from tlog.Offset, wait time.Duration) (tlog.Batch, error) {
 	ctx, cancel := context.WithCancel(f.loop.ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -100,7 +100,7 @@
 }
 
 // from returns the next offset to read.
-func (f *follower) from() platform.Offset {
+func (f *follower) from() tlog.Offset {
 	if f.gap {
 		return f.next
 	}
@@ -108,7 +108,7 @@
 }
 
 // openGap starts over at the oldest record that the log still keeps.
-func (f *follower) openGap(wanted, first platform.Offset) {
+func (f *follower) openGap(wanted, first tlog.Offset) {
 	f.loop.zap.Warn("control: records are missing, looking for a checkpoint",
 		zap.String("stream", f.stream), zap.Uint64("wanted", uint64(wanted)), zap.Uint64("first", uint64(first)))
 	f.gap = true
@@ -117,7 +117,7 @@
 }
 
 // take folds a batch that was read from the given offset.
-func (f *follower) take(now ownership.Instant, from platform.Offset, batch platform.Batch) {
+func (f *follower) take(now ownership.Instant, from tlog.Offset, batch tlog.Batch) {
 	if from != f.from() {
 		return // the fold was replaced while the read waited
 	}
@@ -130,7 +130,7 @@
 	}
 }
 
-func (f *follower) takeOne(now ownership.Instant, r platform.Record) {
+func (f *follower) takeOne(now ownership.Instant, r tlog.Record) {
 	if !f.gap {
 		f.fold.apply(now, r)
 		return
@@ -156,7 +156,7 @@
 
 // joins reports whether a state through the given offset leaves no record
 // missing before the kept ones.
-func (f *follower) joins(through platform.Offset) bool {
+func (f *follower) joins(through tlog.Offset) bool {
 	return len(f.kept) > 0 && through+1 >= f.kept[0].Offset
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -13,7 +13,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -43,7 +43,7 @@
 // Loop runs the control goroutine.
 type Loop struct {
 	cfg       Config
-	log       platform.Log
+	log       tlog.Log
 	transport Transport
 	zap       *zap.Logger
 	epoch     time.Time
@@ -74,7 +74,7 @@
 }
 
 // New returns a loop that is not started.
-func New(cfg Config, log platform.Log, transport Transport, logger *zap.Logger) *Loop {
+func New(cfg Config, log tlog.Log, transport Transport, logger *zap.Logger) *Loop {
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
 	}
@@ -99,8 +99,8 @@
 		stop:      stop,
 	}
 	l.followers = []*follower{
-		newFollower(l, platform.ProfileStream, catalogFold{l}),
-		newFollower(l, platform.OwnershipStream(cfg.Cell), ownershipFold{l}),
+		newFollower(l, tlog.ProfileStream, catalogFold{l}),
+		newFollower(l, tlog.OwnershipStream(cfg.Cell), ownershipFold{l}),
 	}
 	changed := make(chan struct{})
 	l.changed.Store(&changed)
--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -14,7 +14,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -59,21 +59,21 @@
 
 // hostLog is the log as one host reaches it.
 type hostLog struct {
-	platform.Log
+	tlog.Log
 	host    string
 	severed *severedLogs
 }
 
-func (h hostLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (h hostLog) Append(ctx context.Context, stream string, data []byte) (tlog.Offset, error) {
 	if h.severed.severed(h.host) {
 		return 0, fault.New(fault.LogUnavailable, "cut off")
 	}
 	return h.Log.Append(ctx, stream, data)
 }
 
-func (h hostLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+func (h hostLog) Read(ctx context.Context, stream string, from tlog.Offset, wait time.Duration) (tlog.Batch, error) {
 	if h.severed.severed(h.host) {
-		return platform.Batch{}, fault.New(fault.LogUnavailable, "cut off")
+		return tlog.Batch{}, fault.New(fault.LogUnavailable, "cut off")
 	}
 	return h.Log.Read(ctx, stream, from, wait)
 }
@@ -116,7 +116,7 @@
 func (c *cluster) put(r profile.Record) {
 	data, err := r.Encode()
 	require.NoError(c.t, err)
-	c.log.Put(platform.ProfileStream, data)
+	c.log.Put(tlog.ProfileStream, data)
 }
 
 func (c *cluster) start(i, domain, incarnation int) *Loop {
--- a/control/progress.go
+++ b/control/progress.go
@@ -5,14 +5,14 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // MemberProgress is how far one member has applied both streams.
 type MemberProgress struct {
 	Member    ownership.Member `json:"member"`
-	Ownership platform.Offset  `json:"ownership"`
-	Profiles  platform.Offset  `json:"profiles"`
+	Ownership tlog.Offset  `json:"ownership"`
+	Profiles  tlog.Offset  `json:"profiles"`
 }
 
 // Progress returns how far each member is known to have applied both streams.
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // later replaces a host's process: the old one ends, a new incarnation starts.
@@ -30,8 +30,8 @@
 		c := newCluster(t, 5, 3, 6, 4*time.Millisecond, 1)
 		c.eventually(10*time.Second, c.loops...)
 		time.Sleep(testRetention)
-		stream := platform.OwnershipStream("main")
-		for _, name := range []string{stream, platform.ProfileStream} {
+		stream := tlog.OwnershipStream("main")
+		for _, name := range []string{stream, tlog.ProfileStream} {
 			records := c.log.Records(name)
 			c.log.Expire(name, records[len(records)-1].Offset)
 		}
@@ -48,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, 3, 3, 4*time.Millisecond, 1)
 		c.eventually(10*time.Second, c.loops...)
-		stream := platform.OwnershipStream("main")
+		stream := tlog.OwnershipStream("main")
 		before := len(c.log.Records(stream))
 		const periods = 3
 		time.Sleep(periods * testRetention)
@@ -157,7 +157,7 @@
 		require.NoError(t, leaver.Leave(t.Context()))
 		require.GreaterOrEqual(t, time.Since(start), 500*time.Millisecond)
 		require.False(t, leaver.Snapshot().View.MayRoute(leaver.Now()))
-		records := c.log.Records(platform.OwnershipStream("main"))
+		records := c.log.Records(tlog.OwnershipStream("main"))
 		last, err := ownership.DecodeRecord(records[len(records)-1].Data)
 		require.NoError(t, err)
 		require.Equal(t, ownership.LeaveRecord, last.Kind)
@@ -170,7 +170,7 @@
 // count returns how many records of a kind the ownership stream holds.
 func (c *cluster) count(kind ownership.RecordKind) int {
 	n := 0
-	for _, r := range c.log.Records(platform.OwnershipStream("main")) {
+	for _, r := range c.log.Records(tlog.OwnershipStream("main")) {
 		record, err := ownership.DecodeRecord(r.Data)
 		require.NoError(c.t, err)
 		if record.Kind == kind {
--- a/control/submit.go
+++ b/control/submit.go
@@ -5,13 +5,13 @@
 	"sync"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
 // Verdict is what the fold of a stream said of one record.
 type Verdict struct {
-	Offset platform.Offset
+	Offset tlog.Offset
 	Void   error // why the record does not count; nil when it was accepted
 }
 
@@ -86,5 +86,5 @@
 	if err != nil {
 		return Verdict{}, fault.Wrap(fault.BadRecord, err, "encode record")
 	}
-	return l.submit(ctx, platform.ProfileStream, r.ID, data)
+	return l.submit(ctx, tlog.ProfileStream, r.ID, data)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 	"github.com/lacewingsaddle/lacewingsaddle/routing"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
@@ -38,8 +38,8 @@
 // Ports are what an entry host needs from outside. Embedders and tests put
 // their own behind them.
 type Ports struct {
-	Log         platform.Log
-	HostList    platform.HostList
+	Log         tlog.Log
+	HostList    tlog.HostList
 	PeerDial    peer.Dialer    // nil means plain TCP
 	BackendDial backend.Dialer // nil means plain TCP
 	// Listen opens the listeners at the settings' addresses; nil means net.Listen.
@@ -48,7 +48,7 @@
 
 // DefaultPorts returns the ports over the network that the settings name.
 func DefaultPorts(h settings.Host) Ports {
-	client := platform.NewClient(h.Platform, nil)
+	client := tlog.NewClient(h.Platform, nil)
 	return Ports{Log: client, HostList: client}
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/routing"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
@@ -70,7 +70,7 @@
 	} {
 		data, err := r.Encode()
 		require.NoError(t, err)
-		b.log.Append(platform.ProfileStream, data)
+		b.log.Append(tlog.ProfileStream, data)
 	}
 }
 
@@ -91,7 +91,7 @@
 
 func (b *bench) startHost(t *testing.T, h settings.Host) *Host {
 	t.Helper()
-	client := platform.NewClient(h.Platform, &http.Transport{DisableKeepAlives: true})
+	client := tlog.NewClient(h.Platform, &http.Transport{DisableKeepAlives: true})
 	host, err := New(h, Ports{Log: client, HostList: client, Listen: b.take}, zap.NewNop())
 	require.NoError(t, err)
 	require.NoError(t, host.Start(t.Context()))
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -6,7 +6,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/admin"
 	"github.com/lacewingsaddle/lacewingsaddle/command"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
 )
@@ -15,7 +15,7 @@
 const recentRequests = 4096
 
 // provisionOperators mounts the operators' API and the status page.
-func (h *Host) provisionOperators(log platform.Log) {
+func (h *Host) provisionOperators(log tlog.Log) {
 	h.measures = query.NewMeasures(h.Metrics)
 	reads := query.New(h.Control, log, h.Settings.Cell, h.Steps, h.measures)
 	h.HandleAdmin("/", h.operatorsHandler(command.New(h.Control, reads, h.Settings.Cell), reads))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,7 +15,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/grant"
 	"github.com/lacewingsaddle/lacewingsaddle/hotkeys"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -151,7 +151,7 @@
 }
 
 // hostsOf returns the names of the hosts that the platform lists as live.
-func hostsOf(list platform.HostList) func(ctx context.Context) (map[string]bool, error) {
+func hostsOf(list tlog.HostList) func(ctx context.Context) (map[string]bool, error) {
 	if list == nil {
 		return nil
 	}
@@ -162,7 +162,7 @@
 		}
 		live := make(map[string]bool, len(hosts))
 		for _, h := range hosts {
-			if h.State == platform.HostLive {
+			if h.State == tlog.HostLive {
 				live[h.Name] = true
 			}
 		}
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -11,7 +11,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // AppendFault is how one append goes wrong.
@@ -28,7 +28,7 @@
 type Log struct {
 	mu      sync.Mutex
 	streams map[string]*stream
-	hosts   []platform.Host
+	hosts   []tlog.Host
 	delay   time.Duration
 	lateBy  time.Duration
 	outage  bool
@@ -36,14 +36,14 @@
 }
 
 type stream struct {
-	first   platform.Offset
-	records []platform.Record
+	first   tlog.Offset
+	records []tlog.Record
 	grown   chan struct{}
 }
 
 var (
-	_ platform.Log      = (*Log)(nil)
-	_ platform.HostList = (*Log)(nil)
+	_ tlog.Log      = (*Log)(nil)
+	_ tlog.HostList = (*Log)(nil)
 )
 
 // NewLog returns an empty log whose calls take delay each way.
@@ -77,14 +77,14 @@
 }
 
 // SetHosts replaces the host list.
-func (l *Log) SetHosts(hosts []platform.Host) {
+func (l *Log) SetHosts(hosts []tlog.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts = hosts
 }
 
 // Expire drops the records of a stream before offset first.
-func (l *Log) Expire(name string, first platform.Offset) {
+func (l *Log) Expire(name string, first tlog.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	st := l.stream(name)
@@ -95,23 +95,23 @@
 }
 
 // Records returns a copy of a stream's records.
-func (l *Log) Records(name string) []platform.Record {
+func (l *Log) Records(name string) []tlog.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Record(nil), l.stream(name).records...)
+	return append([]tlog.Record(nil), l.stream(name).records...)
 }
 
 // Put appends a record at once, whatever the faults in force.
-func (l *Log) Put(name string, data []byte) platform.Offset {
+func (l *Log) Put(name string, data []byte) tlog.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.put(name, data)
 }
 
-func (l *Log) put(name string, data []byte) platform.Offset {
+func (l *Log) put(name string, data []byte) tlog.Offset {
 	st := l.stream(name)
 	offset := st.next()
-	st.records = append(st.records, platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	st.records = append(st.records, tlog.Record{Offset: offset, Time: time.Now(), Data: data})
 	st.wake()
 	return offset
 }
@@ -125,8 +125,8 @@
 	return st
 }
 
-func (st *stream) next() platform.Offset {
-	return st.first + platform.Offset(len(st.records))
+func (st *stream) next() tlog.Offset {
+	return st.first + tlog.Offset(len(st.records))
 }
 
 func (st *stream) wake() {
@@ -134,8 +134,8 @@
 	st.grown = make(chan struct{})
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name string, data []byte) (platform.Offset, error) {
+// Append implements tlog.Log.
+func (l *Log) Append(ctx context.Context, name string, data []byte) (tlog.Offset, error) {
 	if err := l.travel(ctx); err != nil {
 		return 0, fault.Wrap(fault.InDoubt, err, "append")
 	}
@@ -149,7 +149,7 @@
 	return offset, nil
 }
 
-func (l *Log) take(name string, data []byte) (platform.Offset, error) {
+func (l *Log) take(name string, data []byte) (tlog.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outage {
@@ -171,10 +171,10 @@
 	return 0, fault.New(fault.InDoubt, "the answer is lost")
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+// Read implements tlog.Log.
+func (l *Log) Read(ctx context.Context, name string, from tlog.Offset, wait time.Duration) (tlog.Batch, error) {
 	if err := l.travel(ctx); err != nil {
-		return platform.Batch{}, fault.Wrap(fault.LogUnavailable, err, "read")
+		return tlog.Batch{}, fault.Wrap(fault.LogUnavailable, err, "read")
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -188,26 +188,26 @@
 		case <-timeout.C:
 			return l.deliver(ctx, batch, nil)
 		case <-ctx.Done():
-			return platform.Batch{}, fault.Wrap(fault.LogUnavailable, ctx.Err(), "read")
+			return tlog.Batch{}, fault.Wrap(fault.LogUnavailable, ctx.Err(), "read")
 		}
 	}
 }
 
-func (l *Log) deliver(ctx context.Context, batch platform.Batch, err error) (platform.Batch, error) {
+func (l *Log) deliver(ctx context.Context, batch tlog.Batch, err error) (tlog.Batch, error) {
 	if travelErr := l.travel(ctx); travelErr != nil {
-		return platform.Batch{}, fault.Wrap(fault.LogUnavailable, travelErr, "read")
+		return tlog.Batch{}, fault.Wrap(fault.LogUnavailable, travelErr, "read")
 	}
 	return batch, err
 }
 
-func (l *Log) batch(name string, from platform.Offset) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) batch(name string, from tlog.Offset) (tlog.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	st := l.stream(name)
 	if l.outage {
-		return platform.Batch{}, nil, fault.New(fault.LogUnavailable, "outage")
+		return tlog.Batch{}, nil, fault.New(fault.LogUnavailable, "outage")
 	}
-	batch := platform.Batch{First: st.first, Next: st.next()}
+	batch := tlog.Batch{First: st.first, Next: st.next()}
 	if from < st.first {
 		return batch, nil, fault.Newf(fault.LogGap, "offset %d is older than %d", from, st.first)
 	}
@@ -217,8 +217,8 @@
 	return batch, st.grown, nil
 }
 
-// Hosts implements platform.HostList.
-func (l *Log) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements tlog.HostList.
+func (l *Log) Hosts(ctx context.Context) ([]tlog.Host, error) {
 	if err := l.travel(ctx); err != nil {
 		return nil, fault.Wrap(fault.LogUnavailable, err, "hosts")
 	}
@@ -227,7 +227,7 @@
 	if l.outage {
 		return nil, fault.New(fault.LogUnavailable, "outage")
 	}
-	return append([]platform.Host(nil), l.hosts...), nil
+	return append([]tlog.Host(nil), l.hosts...), nil
 }
 
 // travel waits for the one-way delay.
--- a/ownership/ids.go
+++ b/ownership/ids.go
@@ -10,11 +10,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Offset is an offset in the ownership stream.
-type Offset = platform.Offset
+type Offset = tlog.Offset
 
 // Instant is a monotonic time, counted from the start of the process.
 type Instant = time.Duration
--- a/profile/catalog.go
+++ b/profile/catalog.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Versioned is an accepted document's place in the stream.
 type Versioned[T any] struct {
-	Version platform.Offset `json:"version"` // offset of the accepting record
+	Version tlog.Offset `json:"version"` // offset of the accepting record
 	ID      string          `json:"id"`      // the record's id
 	Author  string          `json:"author"`
 	Cause   string          `json:"cause"`
@@ -23,13 +23,13 @@
 // Catalog is the fold of the profile stream. It is immutable once published:
 // Apply returns a new catalog.
 type Catalog struct {
-	Applied  platform.Offset
+	Applied  tlog.Offset
 	Profiles map[string]Versioned[Profile]
 	Services map[string]Versioned[Service]
 	// Canceled holds the records that are void if they arrive late. An entry
 	// goes once its subject's version has moved on, which voids the record anyway.
 	Canceled   map[string]Cancel
-	Checkpoint platform.Offset // offset of the newest checkpoint record; 0 for none
+	Checkpoint tlog.Offset // offset of the newest checkpoint record; 0 for none
 	Void       uint64          // records that lost a race or are invalid
 	Bad        uint64          // unreadable records
 }
@@ -55,7 +55,7 @@
 // that says why the record is void. A record at or below Applied changes
 // nothing. The result depends on nothing but the records, so every host
 // accepts and voids the same ones.
-func (c *Catalog) Apply(offset platform.Offset, data []byte) (*Catalog, error) {
+func (c *Catalog) Apply(offset tlog.Offset, data []byte) (*Catalog, error) {
 	if offset <= c.Applied {
 		return c, nil
 	}
@@ -74,7 +74,7 @@
 }
 
 // apply changes c only if it returns nil.
-func (c *Catalog) apply(offset platform.Offset, r Record) error {
+func (c *Catalog) apply(offset tlog.Offset, r Record) error {
 	switch r.Kind {
 	case CheckpointDocument:
 		c.Checkpoint = offset
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func versioned[T any](offset platform.Offset, r Record, value T) Versioned[T] {
+func versioned[T any](offset tlog.Offset, r Record, value T) Versioned[T] {
 	return Versioned[T]{
 		Version: offset, ID: r.ID, Author: r.Author, Cause: r.Cause,
 		Time: r.Time, Source: r.Source, Value: value,
@@ -121,7 +121,7 @@
 
 // standing is who last changed a document.
 type standing struct {
-	Version platform.Offset
+	Version tlog.Offset
 	ID      string
 	Author  string
 	Cause   string
--- a/profile/catalog_test.go
+++ b/profile/catalog_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 var (
@@ -41,11 +41,11 @@
 	}}
 }
 
-func profileRecord(id string, base platform.Offset, p *Profile) Record {
+func profileRecord(id string, base tlog.Offset, p *Profile) Record {
 	return Record{ID: id, Author: "ana", Cause: "test " + id, Kind: ProfileDocument, Name: p.Name, Base: base, Profile: p}
 }
 
-func serviceRecord(id string, base platform.Offset, s *Service) Record {
+func serviceRecord(id string, base tlog.Offset, s *Service) Record {
 	return Record{ID: id, Author: "ben", Cause: "test " + id, Kind: ServiceDocument, Name: s.Name, Base: base, Service: s}
 }
 
@@ -60,7 +60,7 @@
 	c := NewCatalog()
 	var errs []error
 	for i, r := range records {
-		next, err := c.Apply(platform.Offset(i+1), encode(t, r))
+		next, err := c.Apply(tlog.Offset(i+1), encode(t, r))
 		errs = append(errs, err)
 		c = next
 	}
@@ -122,7 +122,7 @@
 	c, errs := fold(t, profileRecord("r1", 0, p), cancel, profileRecord("late", 1, p))
 	require.NoError(t, errs[1])
 	require.Equal(t, fault.Superseded, fault.KindOf(errs[2]))
-	require.Equal(t, platform.Offset(1), c.Profiles["p"].Version)
+	require.Equal(t, tlog.Offset(1), c.Profiles["p"].Version)
 	c, errs = fold(t, profileRecord("r1", 0, p), cancel, profileRecord("r2", 1, p), profileRecord("late", 1, p))
 	require.NoError(t, errs[2])
 	require.Error(t, errs[3])
@@ -146,7 +146,7 @@
 	require.Equal(t, want.Limits.Connections, c.Profiles["p"].Value.Limits.Connections)
 	c, err = c.Apply(3, []byte(unknown))
 	require.Equal(t, fault.BadRecord, fault.KindOf(err))
-	require.Equal(t, platform.Offset(3), c.Applied)
+	require.Equal(t, tlog.Offset(3), c.Applied)
 }
 
 // drawRecord draws records that often race, repeat or are invalid.
@@ -156,7 +156,7 @@
 	}
 	id := fmt.Sprintf("r%d", i)
 	name := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "name")
-	base := platform.Offset(rapid.IntRange(0, i).Draw(t, "base"))
+	base := tlog.Offset(rapid.IntRange(0, i).Draw(t, "base"))
 	switch rapid.IntRange(0, 7).Draw(t, "what") {
 	case 0:
 		return []byte(rapid.SampledFrom([]string{"", "{}", "null", `{"kind":"x"}`}).Draw(t, "junk"))
@@ -187,7 +187,7 @@
 
 func applyAll(c *Catalog, stream [][]byte, from int) *Catalog {
 	for i := from; i < len(stream); i++ {
-		c, _ = c.Apply(platform.Offset(i+1), stream[i])
+		c, _ = c.Apply(tlog.Offset(i+1), stream[i])
 	}
 	return c
 }
@@ -204,7 +204,7 @@
 			to := rapid.IntRange(at, len(stream)).Draw(t, "to")
 			for i := from; i < to; i++ {
 				before := c
-				c, _ = c.Apply(platform.Offset(i+1), stream[i])
+				c, _ = c.Apply(tlog.Offset(i+1), stream[i])
 				requireNotBack(t, before, c)
 			}
 			at = max(at, to)
@@ -280,7 +280,7 @@
 	f.Add([]byte(`{"kind":"profile","profile":null}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		next, err := c.Apply(3, data)
-		require.Equal(t, platform.Offset(3), next.Applied)
+		require.Equal(t, tlog.Offset(3), next.Applied)
 		if err != nil {
 			require.Equal(t, c.Profiles, next.Profiles)
 			require.Equal(t, c.Services, next.Services)
--- a/profile/checkpoint.go
+++ b/profile/checkpoint.go
@@ -7,12 +7,12 @@
 	"encoding/json"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // CheckpointRecord is the part of a record that holds a whole catalog.
 type CheckpointRecord struct {
-	Through platform.Offset `json:"through"` // every record up to this offset is in it
+	Through tlog.Offset `json:"through"` // every record up to this offset is in it
 	Hash    string          `json:"hash"`    // SHA-256 of State, in hexadecimal
 	State   json.RawMessage `json:"state"`
 }
@@ -22,7 +22,7 @@
 	Profiles   map[string]Versioned[json.RawMessage] `json:"profiles"`
 	Services   map[string]Versioned[Service]         `json:"services"`
 	Canceled   map[string]Cancel                     `json:"canceled,omitempty"`
-	Checkpoint platform.Offset                       `json:"checkpoint,omitempty"`
+	Checkpoint tlog.Offset                       `json:"checkpoint,omitempty"`
 	Void       uint64                                `json:"void"`
 	Bad        uint64                                `json:"bad"`
 }
@@ -74,7 +74,7 @@
 	return state.catalog(r.Checkpoint.Through)
 }
 
-func (s checkpointState) catalog(through platform.Offset) (*Catalog, error) {
+func (s checkpointState) catalog(through tlog.Offset) (*Catalog, error) {
 	c := NewCatalog()
 	c.Applied, c.Checkpoint, c.Void, c.Bad = through, s.Checkpoint, s.Void, s.Bad
 	for name, v := range s.Profiles {
--- a/profile/record.go
+++ b/profile/record.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // DocumentKind names what a record of the profile stream carries.
@@ -35,7 +35,7 @@
 	Time          time.Time         `json:"time"`   // the author's clock, for people only
 	Kind          DocumentKind      `json:"kind"`
 	Name          string            `json:"name"`
-	Base          platform.Offset   `json:"base"` // the version it builds on; 0 for a new name
+	Base          tlog.Offset   `json:"base"` // the version it builds on; 0 for a new name
 	Profile       *Profile          `json:"profile,omitempty"`
 	Service       *Service          `json:"service,omitempty"`
 	Source        string            `json:"source,omitempty"` // the document as the operator wrote it
@@ -49,7 +49,7 @@
 	ID   string          `json:"id"`
 	Kind DocumentKind    `json:"kind"`
 	Name string          `json:"name"`
-	Base platform.Offset `json:"base"`
+	Base tlog.Offset `json:"base"`
 }
 
 // Encode returns the record's log form.
@@ -109,7 +109,7 @@
 }
 
 // RecordOf returns the record that publishes doc against the version base.
-func RecordOf(doc Document, id, author, cause string, base platform.Offset) Record {
+func RecordOf(doc Document, id, author, cause string, base tlog.Offset) Record {
 	return Record{
 		ID: id, Author: author, Cause: cause, Kind: doc.Kind, Name: doc.Name(),
 		Base: base, Profile: doc.Profile, Service: doc.Service, Source: doc.Source,
--- a/query/audit.go
+++ b/query/audit.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // AuditFilter chooses entries. Empty fields choose every entry.
@@ -18,15 +18,15 @@
 	Subject string    `form:"subject"` // part of the subject
 	ID      string    `form:"id"`      // the record's id
 	// AfterProfiles and AfterOwnership leave out what an earlier call returned.
-	AfterProfiles  platform.Offset `form:"after_profiles"`
-	AfterOwnership platform.Offset `form:"after_ownership"`
+	AfterProfiles  tlog.Offset `form:"after_profiles"`
+	AfterOwnership tlog.Offset `form:"after_ownership"`
 }
 
 // Audit is a part of the audit trail, oldest entry first.
 type Audit struct {
 	Entries   []Entry         `json:"entries"`
-	Profiles  platform.Offset `json:"profiles"`  // last offset read of the profile stream
-	Ownership platform.Offset `json:"ownership"` // last offset read of the ownership stream
+	Profiles  tlog.Offset `json:"profiles"`  // last offset read of the profile stream
+	Ownership tlog.Offset `json:"ownership"` // last offset read of the ownership stream
 }
 
 // Audit reads both streams to their end and returns the chosen entries. Errors
@@ -50,7 +50,7 @@
 	return out, nil
 }
 
-func (a *Audit) add(entries []Entry, after platform.Offset, f AuditFilter) {
+func (a *Audit) add(entries []Entry, after tlog.Offset, f AuditFilter) {
 	for _, e := range entries {
 		if e.Offset > after && f.matches(e) {
 			a.Entries = append(a.Entries, e)
--- a/query/explain.go
+++ b/query/explain.go
@@ -8,7 +8,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Owner is the route of one shard or pinned key on this host.
@@ -19,7 +19,7 @@
 	Pinned  bool            `json:"pinned,omitempty"`
 	Server  string          `json:"server"` // empty: none in force
 	Token   ownership.Token `json:"token"`
-	Record  platform.Offset `json:"record"` // the assignment record
+	Record  tlog.Offset `json:"record"` // the assignment record
 	Rank    int             `json:"rank"`   // succession rank; 0 is the assigned owner
 	Held    bool            `json:"held"`   // a newer owner is recorded and not in force yet
 }
@@ -147,7 +147,7 @@
 // RecentMove is one accepted assignment record.
 type RecentMove struct {
 	Time    time.Time       `json:"time"`
-	Offset  platform.Offset `json:"offset"`
+	Offset  tlog.Offset `json:"offset"`
 	Service string          `json:"service"`
 	Detail  string          `json:"detail"`
 	Author  string          `json:"author"`
--- a/query/profiles.go
+++ b/query/profiles.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -16,7 +16,7 @@
 type DocumentInfo struct {
 	Kind    profile.DocumentKind `json:"kind"`
 	Name    string               `json:"name"`
-	Version platform.Offset      `json:"version"`
+	Version tlog.Offset      `json:"version"`
 	ID      string               `json:"id"`
 	Author  string               `json:"author"`
 	Cause   string               `json:"cause"`
@@ -60,7 +60,7 @@
 // Document returns the current version of a document, or an earlier one when
 // version is not 0. Errors are of kind NotFound, or LogUnavailable for an
 // earlier version.
-func (s *Service) Document(ctx context.Context, kind profile.DocumentKind, name string, version platform.Offset) (Document, error) {
+func (s *Service) Document(ctx context.Context, kind profile.DocumentKind, name string, version tlog.Offset) (Document, error) {
 	d, ok := documentOf(s.control.Snapshot().Catalog, kind, name)
 	if ok && (version == 0 || version == d.Version) {
 		return d, nil
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	out := []Document{}
-	last := platform.Offset(0)
+	last := tlog.Offset(0)
 	note := func() {
 		d, ok := documentOf(catalog, kind, name)
 		if ok && d.Version != last {
@@ -129,11 +129,11 @@
 
 // readProfiles returns the profile stream's kept records and the catalog that
 // they build on.
-func (s *Service) readProfiles(ctx context.Context) (*profile.Catalog, []platform.Record, error) {
-	var records []platform.Record
-	from := platform.Offset(1)
+func (s *Service) readProfiles(ctx context.Context) (*profile.Catalog, []tlog.Record, error) {
+	var records []tlog.Record
+	from := tlog.Offset(1)
 	for {
-		batch, err := s.log.Read(ctx, platform.ProfileStream, from, 0)
+		batch, err := s.log.Read(ctx, tlog.ProfileStream, from, 0)
 		if err != nil && fault.KindOf(err) == fault.LogGap && batch.First > from {
 			from, records = batch.First, nil
 			continue
@@ -166,13 +166,13 @@
 
 // Diff is the difference between two versions, over their effective texts.
 type Diff struct {
-	From    platform.Offset `json:"from"`
-	To      platform.Offset `json:"to"`
+	From    tlog.Offset `json:"from"`
+	To      tlog.Offset `json:"to"`
 	Changes []Change        `json:"changes"`
 }
 
 // Diff compares two versions of a document; to 0 means the current one.
-func (s *Service) Diff(ctx context.Context, kind profile.DocumentKind, name string, from, to platform.Offset) (Diff, error) {
+func (s *Service) Diff(ctx context.Context, kind profile.DocumentKind, name string, from, to tlog.Offset) (Diff, error) {
 	a, err := s.Document(ctx, kind, name, from)
 	if err != nil {
 		return Diff{}, err
--- a/query/service.go
+++ b/query/service.go
@@ -7,7 +7,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/steps"
 )
 
@@ -28,14 +28,14 @@
 // concurrent use.
 type Service struct {
 	control  Control
-	log      platform.Log
+	log      tlog.Log
 	steps    StepSource
 	measures *Measures
 	trail    *trail
 }
 
 // New returns a service of a host in cell.
-func New(c Control, log platform.Log, cell string, recent StepSource, m *Measures) *Service {
+func New(c Control, log tlog.Log, cell string, recent StepSource, m *Measures) *Service {
 	return &Service{control: c, log: log, steps: recent, measures: m, trail: newTrail(log, cell)}
 }
 
--- a/query/status.go
+++ b/query/status.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Status is one host's view of the deployment.
@@ -16,9 +16,9 @@
 	Member    bool              `json:"member"`    // its joining is in force
 	MayRoute  bool              `json:"may_route"` // it holds a view lease
 	LeaseLeft time.Duration     `json:"lease_left_ns"`
-	Applied   platform.Offset   `json:"applied"` // last ownership record folded
-	Active    platform.Offset   `json:"active"`  // last ownership record in force
-	Catalog   platform.Offset   `json:"catalog"` // last profile record folded
+	Applied   tlog.Offset   `json:"applied"` // last ownership record folded
+	Active    tlog.Offset   `json:"active"`  // last ownership record in force
+	Catalog   tlog.Offset   `json:"catalog"` // last profile record folded
 	Void      uint64            `json:"void_records"`
 	Members   int               `json:"members"`
 	Services  []ServiceStatus   `json:"services"`
@@ -29,7 +29,7 @@
 type ServiceStatus struct {
 	Name    string          `json:"name"`
 	Profile string          `json:"profile"`
-	Version platform.Offset `json:"version"` // of the service document
+	Version tlog.Offset `json:"version"` // of the service document
 	Keyed   bool            `json:"keyed"`
 	Servers int             `json:"servers"`
 	Shards  int             `json:"shards"`
@@ -84,8 +84,8 @@
 	Domain    string          `json:"domain"`
 	PeerAddr  string          `json:"peer_addr"`
 	Self      bool            `json:"self"`
-	Ownership platform.Offset `json:"ownership"` // acknowledged offset of the ownership stream
-	Profiles  platform.Offset `json:"profiles"`  // acknowledged offset of the profile stream
+	Ownership tlog.Offset `json:"ownership"` // acknowledged offset of the ownership stream
+	Profiles  tlog.Offset `json:"profiles"`  // acknowledged offset of the profile stream
 	Behind    bool            `json:"behind"`    // has not acknowledged all that this host applied
 }
 
--- a/query/trail.go
+++ b/query/trail.go
@@ -9,7 +9,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -34,7 +34,7 @@
 // Entry is one record of the audit trail.
 type Entry struct {
 	Stream  string          `json:"stream"`
-	Offset  platform.Offset `json:"offset"`
+	Offset  tlog.Offset `json:"offset"`
 	Time    time.Time       `json:"time"` // when the log took the record, by its clock
 	ID      string          `json:"id"`
 	Author  string          `json:"author"`
@@ -48,7 +48,7 @@
 
 // Move is one change of the owner of a shard or pinned key.
 type Move struct {
-	Offset platform.Offset `json:"offset"`
+	Offset tlog.Offset `json:"offset"`
 	Time   time.Time       `json:"time"`
 	From   string          `json:"from,omitempty"`
 	To     string          `json:"to"`
@@ -66,7 +66,7 @@
 // trail folds both streams anew, so that each record shows its verdict. It
 // reads on when asked and keeps a bounded number of entries.
 type trail struct {
-	log platform.Log
+	log tlog.Log
 
 	mu        sync.Mutex
 	profiles  follower
@@ -79,17 +79,17 @@
 // follower is how far one stream was read.
 type follower struct {
 	stream  string
-	next    platform.Offset
+	next    tlog.Offset
 	entries []Entry
 	// unknown is true after a gap until a checkpoint restores the fold.
 	unknown bool
 }
 
-func newTrail(log platform.Log, cell string) *trail {
+func newTrail(log tlog.Log, cell string) *trail {
 	return &trail{
 		log:       log,
-		profiles:  follower{stream: platform.ProfileStream, next: 1},
-		ownership: follower{stream: platform.OwnershipStream(cell), next: 1},
+		profiles:  follower{stream: tlog.ProfileStream, next: 1},
+		ownership: follower{stream: tlog.OwnershipStream(cell), next: 1},
 		catalog:   profile.NewCatalog(),
 		state:     ownership.NewState(),
 		moves:     map[place][]Move{},
@@ -104,7 +104,7 @@
 	return t.read(ctx, &t.ownership, t.onOwnership)
 }
 
-func (t *trail) read(ctx context.Context, f *follower, apply func(r platform.Record) Entry) error {
+func (t *trail) read(ctx context.Context, f *follower, apply func(r tlog.Record) Entry) error {
 	for {
 		batch, err := t.log.Read(ctx, f.stream, f.next, 0)
 		if fault.KindOf(err) == fault.LogGap && err != nil && batch.First > f.next {
@@ -135,7 +135,7 @@
 
 // restore takes up the first checkpoint among records. Records that it covers
 // keep an unknown verdict.
-func (t *trail) restore(f *follower, records []platform.Record) {
+func (t *trail) restore(f *follower, records []tlog.Record) {
 	for _, r := range records {
 		if f == &t.profiles {
 			c, err := profile.DecodeCatalogCheckpoint(r.Data)
@@ -176,7 +176,7 @@
 	}
 }
 
-func (t *trail) onProfile(r platform.Record) Entry {
+func (t *trail) onProfile(r tlog.Record) Entry {
 	entry := Entry{Verdict: Expired}
 	if record, err := profile.DecodeRecord(r.Data); err == nil {
 		entry.ID, entry.Author, entry.Cause = record.ID, record.Author, record.Cause
@@ -197,13 +197,13 @@
 	case profile.CancelDocument:
 		return string(r.Cancel.Kind) + "/" + r.Cancel.Name
 	case profile.CheckpointDocument:
-		return platform.ProfileStream
+		return tlog.ProfileStream
 	default:
 		return string(r.Kind) + "/" + r.Name
 	}
 }
 
-func (t *trail) onOwnership(r platform.Record) Entry {
+func (t *trail) onOwnership(r tlog.Record) Entry {
 	entry := Entry{Verdict: Expired}
 	record, err := ownership.DecodeRecord(r.Data)
 	if err == nil {
@@ -262,7 +262,7 @@
 }
 
 // noteMoves keeps the changes of owner that an accepted record made.
-func (t *trail) noteMoves(before *ownership.State, record ownership.Record, r platform.Record) {
+func (t *trail) noteMoves(before *ownership.State, record ownership.Record, r tlog.Record) {
 	a := record.Assign
 	old := before.Tables[a.Service]
 	note := func(p place, from, to string) {
--- a/routing/fixture_test.go
+++ b/routing/fixture_test.go
@@ -13,7 +13,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/backend"
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 )
 
@@ -131,7 +131,7 @@
 		EchoesID:   o.echoes,
 		Servers:    []profile.Server{{ID: "server-0", Address: o.addr, Domain: "bilbao"}},
 	}
-	catalog.Services[testService] = profile.Versioned[profile.Service]{Version: platform.Offset(2), Value: service}
+	catalog.Services[testService] = profile.Versioned[profile.Service]{Version: tlog.Offset(2), Value: service}
 	view := &ownership.View{
 		Self:       "entry-0/a",
 		Member:     true,
--- a/standin/logsvc/http.go
+++ b/standin/logsvc/http.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // maxAdminBytes bounds the body of an admin call.
@@ -15,8 +15,8 @@
 
 // StreamStatus is one stream's extent.
 type StreamStatus struct {
-	First platform.Offset `json:"first"`
-	Next  platform.Offset `json:"next"`
+	First tlog.Offset `json:"first"`
+	Next  tlog.Offset `json:"next"`
 }
 
 // Status is the answer to GET /-/admin/streams.
@@ -88,7 +88,7 @@
 		s.Append(name, data)
 		panic(http.ErrAbortHandler)
 	default:
-		writeJSON(w, http.StatusOK, platform.WireAppended{Offset: s.Append(name, data)})
+		writeJSON(w, http.StatusOK, tlog.WireAppended{Offset: s.Append(name, data)})
 	}
 }
 
@@ -100,21 +100,21 @@
 	}
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	wait := time.Duration(waitMS) * time.Millisecond
-	batch := s.read(r.Context(), r.PathValue("stream"), platform.Offset(from), wait)
+	batch := s.read(r.Context(), r.PathValue("stream"), tlog.Offset(from), wait)
 	if s.Faults().Outage != NoOutage {
 		// An outage that began during a long poll ends the poll as well.
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
 	status := http.StatusOK
-	if platform.Offset(from) < batch.First {
+	if tlog.Offset(from) < batch.First {
 		status = http.StatusGone
 	}
 	writeJSON(w, status, batch)
 }
 
 func (s *Service) serveHosts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.WireHosts{Hosts: s.visibleHosts()})
+	writeJSON(w, http.StatusOK, tlog.WireHosts{Hosts: s.visibleHosts()})
 }
 
 func (s *Service) serveFaults(w http.ResponseWriter, _ *http.Request) {
@@ -137,7 +137,7 @@
 }
 
 func (s *Service) servePutHosts(w http.ResponseWriter, r *http.Request) {
-	var body platform.WireHosts
+	var body tlog.WireHosts
 	if !readJSON(w, r, &body) {
 		return
 	}
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
@@ -30,19 +30,19 @@
 
 // stream is one append-only stream.
 type stream struct {
-	first   platform.Offset
-	records []platform.WireRecord
+	first   tlog.Offset
+	records []tlog.WireRecord
 	grown   chan struct{} // closed and replaced at each append
 }
 
-func (st *stream) next() platform.Offset {
-	return st.first + platform.Offset(len(st.records))
+func (st *stream) next() tlog.Offset {
+	return st.first + tlog.Offset(len(st.records))
 }
 
 // hostsAt is the host list from one moment on.
 type hostsAt struct {
 	from  time.Time
-	hosts []platform.Host
+	hosts []tlog.Host
 }
 
 // Service holds the streams and the host list. It is safe for concurrent use.
@@ -85,18 +85,18 @@
 func (s *Service) Close() { s.stop() }
 
 // SetHosts replaces the host list. Readers see it after the list's lag.
-func (s *Service) SetHosts(hosts []platform.Host) {
+func (s *Service) SetHosts(hosts []tlog.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append(s.hosts, hostsAt{from: s.cfg.Now(), hosts: hosts})
 }
 
 // visibleHosts returns the list as it was one lag ago.
-func (s *Service) visibleHosts() []platform.Host {
+func (s *Service) visibleHosts() []tlog.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.cfg.Now().Add(-s.faults.hostListLag())
-	visible := []platform.Host{}
+	visible := []tlog.Host{}
 	for _, h := range s.hosts {
 		if !h.from.After(seen) {
 			visible = h.hosts
@@ -115,16 +115,16 @@
 }
 
 // Append adds a record, whatever the limits and faults, and returns its offset.
-func (s *Service) Append(name string, data []byte) platform.Offset {
+func (s *Service) Append(name string, data []byte) tlog.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.appendLocked(name, data)
 }
 
-func (s *Service) appendLocked(name string, data []byte) platform.Offset {
+func (s *Service) appendLocked(name string, data []byte) tlog.Offset {
 	st := s.stream(name)
 	offset := st.next()
-	st.records = append(st.records, platform.WireRecord{Offset: offset, Time: s.cfg.Now(), Data: data})
+	st.records = append(st.records, tlog.WireRecord{Offset: offset, Time: s.cfg.Now(), Data: data})
 	s.trim(st)
 	close(st.grown)
 	st.grown = make(chan struct{})
@@ -143,12 +143,12 @@
 			drop++
 		}
 	}
-	st.first += platform.Offset(drop)
+	st.first += tlog.Offset(drop)
 	st.records = st.records[drop:]
 }
 
 // read returns the records from an offset on and waits up to wait for the first.
-func (s *Service) read(ctx context.Context, name string, from platform.Offset, wait time.Duration) platform.WireBatch {
+func (s *Service) read(ctx context.Context, name string, from tlog.Offset, wait time.Duration) tlog.WireBatch {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -168,12 +168,12 @@
 	}
 }
 
-func (s *Service) batch(name string, from platform.Offset) (platform.WireBatch, <-chan struct{}) {
+func (s *Service) batch(name string, from tlog.Offset) (tlog.WireBatch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	s.trim(st)
-	batch := platform.WireBatch{First: st.first, Next: st.next()}
+	batch := tlog.WireBatch{First: st.first, Next: st.next()}
 	if from >= st.first && from < st.next() {
 		kept := st.records[from-st.first:]
 		batch.Records = append(batch.Records, kept[:min(len(kept), maxBatchRecords)]...)
--- a/standin/logsvc/logsvc_test.go
+++ b/standin/logsvc/logsvc_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
-	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog/tlogtest"
 )
 
 // clock is a clock that only moves when it is told to.
@@ -38,7 +38,7 @@
 }
 
 // start serves a service over loopback.
-func start(t *testing.T, cfg Config) (*Service, *platform.Client, string) {
+func start(t *testing.T, cfg Config) (*Service, *tlog.Client, string) {
 	t.Helper()
 	s := NewWithConfig(cfg)
 	h := httptest.NewServer(s.Handler())
@@ -47,13 +47,13 @@
 		h.CloseClientConnections()
 		h.Close()
 	})
-	return s, platform.NewClient(h.URL, nil), h.URL
+	return s, tlog.NewClient(h.URL, nil), h.URL
 }
 
 func TestClientAndServiceKeepTheLogContract(t *testing.T) {
-	platformtest.Run(t, func(t *testing.T) platformtest.Subject {
+	tlogtest.Run(t, func(t *testing.T) tlogtest.Subject {
 		s, client, _ := start(t, Config{})
-		return platformtest.Subject{
+		return tlogtest.Subject{
 			Log: client,
 			SetOutage: func(on bool) {
 				s.SetFaults(Faults{Outage: map[bool]Outage{true: Refusing, false: NoOutage}[on]})
@@ -81,10 +81,10 @@
 	c.advance(2 * time.Hour)
 	batch, err := client.Read(t.Context(), "a", 1, 0)
 	require.Equal(t, fault.LogGap, fault.KindOf(err))
-	require.Equal(t, platform.Offset(2), batch.First)
+	require.Equal(t, tlog.Offset(2), batch.First)
 	offset, err := client.Append(t.Context(), "a", []byte("new"))
 	require.NoError(t, err)
-	require.Equal(t, platform.Offset(2), offset)
+	require.Equal(t, tlog.Offset(2), offset)
 }
 
 func TestAppendsPerSecondAreCapped(t *testing.T) {
@@ -129,7 +129,7 @@
 func TestHostListLags(t *testing.T) {
 	c := newClock()
 	s, client, _ := start(t, Config{Now: c.Now})
-	live := []platform.Host{{Name: "entry-1", Domain: "pampa", State: platform.HostLive}}
+	live := []tlog.Host{{Name: "entry-1", Domain: "pampa", State: tlog.HostLive}}
 	s.SetHosts(live)
 	c.advance(time.Minute)
 	s.SetFaults(Faults{HostListLagMS: 5000})
--- a/platform/http.go
+++ b/tlog/http.go
@@ -1,4 +1,4 @@
-package platform
+package tlog
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/tlog/tlog.go
@@ -1,6 +1,6 @@
-// Package platform declares the ports to the platform's services and holds
+// Package tlog declares the ports to the platform's services and holds
 // the HTTP adapter. No other package knows the wire format.
-package platform
+package tlog
 
 import (
 	"context"
--- a/platform/platformtest/platformtest.go
+++ b/tlog/tlogtest/tlogtest.go
@@ -1,6 +1,6 @@
-// Package platformtest holds the contract that every platform.Log must keep. An
+// Package tlogtest holds the contract that every tlog.Log must keep. An
 // adapter's or a fake's own tests call Run.
-package platformtest
+package tlogtest
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // longWait bounds waits that end early when the contract is kept.
@@ -21,7 +21,7 @@
 // Subject is a log under test and the means to bring about its failures. Each
 // means takes effect at once; a nil means skips the cases that need it.
 type Subject struct {
-	Log platform.Log
+	Log tlog.Log
 	// SetOutage starts or ends an outage in which every call is refused.
 	SetOutage func(on bool)
 	// LoseNextAnswer lets the next append take effect without an answer.
@@ -57,14 +57,14 @@
 	}
 }
 
-func mustAppend(t *testing.T, l platform.Log, stream, data string) platform.Offset {
+func mustAppend(t *testing.T, l tlog.Log, stream, data string) tlog.Offset {
 	t.Helper()
 	offset, err := l.Append(t.Context(), stream, []byte(data))
 	require.NoError(t, err)
 	return offset
 }
 
-func mustRead(t *testing.T, l platform.Log, stream string, from platform.Offset) platform.Batch {
+func mustRead(t *testing.T, l tlog.Log, stream string, from tlog.Offset) tlog.Batch {
 	t.Helper()
 	batch, err := l.Read(t.Context(), stream, from, 0)
 	require.NoError(t, err)
@@ -72,12 +72,12 @@
 }
 
 func checkOffsets(t *testing.T, s Subject) {
-	for want := platform.Offset(1); want <= 5; want++ {
+	for want := tlog.Offset(1); want <= 5; want++ {
 		require.Equal(t, want, mustAppend(t, s.Log, "a", "x"))
 	}
 	batch := mustRead(t, s.Log, "a", 1)
-	require.Equal(t, platform.Offset(1), batch.First)
-	require.Equal(t, platform.Offset(6), batch.Next)
+	require.Equal(t, tlog.Offset(1), batch.First)
+	require.Equal(t, tlog.Offset(6), batch.Next)
 }
 
 func checkOrder(t *testing.T, s Subject) {
@@ -87,7 +87,7 @@
 	batch := mustRead(t, s.Log, "a", 3)
 	require.Len(t, batch.Records, 3)
 	for i, r := range batch.Records {
-		require.Equal(t, platform.Offset(3+i), r.Offset)
+		require.Equal(t, tlog.Offset(3+i), r.Offset)
 		require.Equal(t, fmt.Sprint(2+i), string(r.Data))
 		require.False(t, r.Time.IsZero())
 	}
@@ -95,7 +95,7 @@
 
 func checkStreamsApart(t *testing.T, s Subject) {
 	mustAppend(t, s.Log, "a", "x")
-	require.Equal(t, platform.Offset(1), mustAppend(t, s.Log, "b", "y"))
+	require.Equal(t, tlog.Offset(1), mustAppend(t, s.Log, "b", "y"))
 	require.Equal(t, "y", string(mustRead(t, s.Log, "b", 1).Records[0].Data))
 }
 
@@ -103,11 +103,11 @@
 	batch, err := s.Log.Read(t.Context(), "a", 1, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, batch.Records)
-	require.Equal(t, platform.Offset(1), batch.Next)
+	require.Equal(t, tlog.Offset(1), batch.Next)
 }
 
 func checkLongPoll(t *testing.T, s Subject) {
-	read := make(chan platform.Batch, 1)
+	read := make(chan tlog.Batch, 1)
 	go func() {
 		batch, _ := s.Log.Read(t.Context(), "a", 1, longWait)
 		read <- batch
@@ -130,7 +130,7 @@
 func checkConcurrentAppends(t *testing.T, s Subject) {
 	const writers, each = 8, 10
 	var wg sync.WaitGroup
-	offsets := make(chan platform.Offset, writers*each)
+	offsets := make(chan tlog.Offset, writers*each)
 	for range writers {
 		wg.Go(func() {
 			for range each {
@@ -143,7 +143,7 @@
 	}
 	wg.Wait()
 	close(offsets)
-	seen := map[platform.Offset]bool{}
+	seen := map[tlog.Offset]bool{}
 	for offset := range offsets {
 		require.False(t, seen[offset], "offset %d was given twice", offset)
 		seen[offset] = true
@@ -188,7 +188,7 @@
 	release := s.DelayNextAppend()
 	_, err := s.Log.Append(t.Context(), "a", []byte("late"))
 	require.Equal(t, fault.InDoubt, fault.KindOf(err))
-	require.Equal(t, platform.Offset(1), mustAppend(t, s.Log, "a", "marker"))
+	require.Equal(t, tlog.Offset(1), mustAppend(t, s.Log, "a", "marker"))
 	release()
 	records := mustRead(t, s.Log, "a", 1).Records
 	require.Len(t, records, 2)
@@ -205,6 +205,6 @@
 	s.DropOldest("a", 2)
 	batch, err := s.Log.Read(t.Context(), "a", 1, 0)
 	require.Equal(t, fault.LogGap, fault.KindOf(err))
-	require.Equal(t, platform.Offset(4), batch.First)
+	require.Equal(t, tlog.Offset(4), batch.First)
 	require.Len(t, mustRead(t, s.Log, "a", batch.First).Records, 2)
 }
--- a/trial/deployment.go
+++ b/trial/deployment.go
@@ -16,7 +16,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/loadgen"
-	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/keyserver"
@@ -151,21 +151,21 @@
 		if err != nil {
 			return err
 		}
-		d.log.Append(platform.ProfileStream, data)
+		d.log.Append(tlog.ProfileStream, data)
 	}
 	return nil
 }
 
 func (d *deployment) startHosts(ctx context.Context) error {
 	var all []settings.Host
-	var listed []platform.Host
+	var listed []tlog.Host
 	for i := range d.shape.Hosts {
 		h, err := d.hostSettings(i)
 		if err != nil {
 			return err
 		}
 		all = append(all, h)
-		listed = append(listed, platform.Host{Name: h.Name, Domain: h.Domain, State: platform.HostLive})
+		listed = append(listed, tlog.Host{Name: h.Name, Domain: h.Domain, State: tlog.HostLive})
 	}
 	d.log.SetHosts(listed)
 	for _, h := range all {
@@ -207,7 +207,7 @@
 // ports connects a host over links with the deployment's delays.
 func (d *deployment) ports(h settings.Host) entry.Ports {
 	dial := delayed(func(addr string) time.Duration { return d.delay(h.Domain, addr) })
-	client := platform.NewClient(h.Platform, &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4})
+	client := tlog.NewClient(h.Platform, &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4})
 	return entry.Ports{
 		Log:         client,
 		HostList:    client,
