--- a/admin/handler.go
+++ b/admin/handler.go
@@ -14,9 +14,9 @@
 	"github.com/lacewingsaddle/lacewingsaddle/client"
 	"github.com/lacewingsaddle/lacewingsaddle/command"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // maxBodyBytes bounds a write's body: a document of the largest size, escaped.
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -77,14 +77,14 @@
 
 // ShowCmd prints a document.
 type ShowCmd struct {
-	Name      string          `arg:"positional,required"`
+	Name      string      `arg:"positional,required"`
 	Version   tlog.Offset `arg:"--version" help:"an earlier version"`
-	Effective bool            `arg:"--effective" help:"with every default"`
+	Effective bool        `arg:"--effective" help:"with every default"`
 }
 
 // DiffCmd compares versions.
 type DiffCmd struct {
-	Name string          `arg:"positional,required"`
+	Name string      `arg:"positional,required"`
 	From tlog.Offset `arg:"positional,required"`
 	To   tlog.Offset `arg:"positional" help:"default: the current version"`
 }
@@ -97,7 +97,7 @@
 // RollbackCmd publishes an earlier version anew.
 type RollbackCmd struct {
 	Writing
-	Name string          `arg:"positional,required"`
+	Name string      `arg:"positional,required"`
 	To   tlog.Offset `arg:"--to,required" placeholder:"VERSION"`
 	Base tlog.Offset `arg:"--base,required" placeholder:"VERSION" help:"the current version that you saw"`
 }
--- a/client/client.go
+++ b/client/client.go
@@ -17,9 +17,9 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/command"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -17,9 +17,9 @@
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fleet"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 var (
--- a/command/ownership.go
+++ b/command/ownership.go
@@ -7,8 +7,8 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Move asks for another owner of one shard. Key, where set, chooses the shard.
--- a/command/progress.go
+++ b/command/progress.go
@@ -21,7 +21,7 @@
 // Progress is how far a change has come in each failure domain.
 type Progress struct {
 	Stream  string           `json:"stream"`
-	Offset  tlog.Offset  `json:"offset"`
+	Offset  tlog.Offset      `json:"offset"`
 	InForce bool             `json:"in_force"`
 	Domains []DomainProgress `json:"domains"`
 }
--- a/command/publish.go
+++ b/command/publish.go
@@ -4,15 +4,15 @@
 	"context"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Publish asks for a new version of one profile or service.
 type Publish struct {
 	By
-	Document string          `json:"document"` // one YAML document
+	Document string      `json:"document"` // one YAML document
 	Base     tlog.Offset `json:"base"`     // the version it builds on; 0 for a new name
 }
 
@@ -38,8 +38,8 @@
 	By
 	Kind    profile.DocumentKind `json:"kind"`
 	Name    string               `json:"name"`
-	Version tlog.Offset      `json:"version"` // the version to return to
-	Base    tlog.Offset      `json:"base"`    // the current version that its author saw
+	Version tlog.Offset          `json:"version"` // the version to return to
+	Base    tlog.Offset          `json:"base"`    // the current version that its author saw
 }
 
 // Rollback publishes an earlier version's text as a new version. The log must
--- a/command/service.go
+++ b/command/service.go
@@ -12,9 +12,9 @@
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Control is the part of control.Loop that writes need.
@@ -76,12 +76,12 @@
 
 // Result is what became of a change.
 type Result struct {
-	ID      string          `json:"id"`
-	Stream  string          `json:"stream"`
+	ID      string      `json:"id"`
+	Stream  string      `json:"stream"`
 	Offset  tlog.Offset `json:"offset,omitempty"`
-	Subject string          `json:"subject"`
-	State   State           `json:"state"`
-	Effect  Effect          `json:"effect"`
+	Subject string      `json:"subject"`
+	State   State       `json:"state"`
+	Effect  Effect      `json:"effect"`
 }
 
 // Effect is what a change does, as far as this host can tell beforehand.
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -17,8 +17,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // costWindow is how long the cost of control is measured.
--- a/control/folds.go
+++ b/control/folds.go
@@ -8,8 +8,8 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/planner"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // ownershipFold folds the ownership stream into the machine.
--- a/control/loop.go
+++ b/control/loop.go
@@ -13,8 +13,8 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -14,8 +14,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/fake"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
--- a/control/progress.go
+++ b/control/progress.go
@@ -11,8 +11,8 @@
 // MemberProgress is how far one member has applied both streams.
 type MemberProgress struct {
 	Member    ownership.Member `json:"member"`
-	Ownership tlog.Offset  `json:"ownership"`
-	Profiles  tlog.Offset  `json:"profiles"`
+	Ownership tlog.Offset      `json:"ownership"`
+	Profiles  tlog.Offset      `json:"profiles"`
 }
 
 // Progress returns how far each member is known to have applied both streams.
--- a/control/submit.go
+++ b/control/submit.go
@@ -5,8 +5,8 @@
 	"sync"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Verdict is what the fold of a stream said of one record.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,11 +22,11 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 	"github.com/lacewingsaddle/lacewingsaddle/routing"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
 	"github.com/lacewingsaddle/lacewingsaddle/steps"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/tlsconfig"
 )
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,12 +14,12 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/routing"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/keyserver"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/logsvc"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/tlsconfig/tlstest"
 )
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -6,9 +6,9 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/admin"
 	"github.com/lacewingsaddle/lacewingsaddle/command"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // recentRequests is how many requests a host can explain.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,8 +15,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/grant"
 	"github.com/lacewingsaddle/lacewingsaddle/hotkeys"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
--- a/profile/catalog.go
+++ b/profile/catalog.go
@@ -12,12 +12,12 @@
 // Versioned is an accepted document's place in the stream.
 type Versioned[T any] struct {
 	Version tlog.Offset `json:"version"` // offset of the accepting record
-	ID      string          `json:"id"`      // the record's id
-	Author  string          `json:"author"`
-	Cause   string          `json:"cause"`
-	Time    time.Time       `json:"time"` // the author's clock, for people only
-	Source  string          `json:"source,omitempty"`
-	Value   T               `json:"value"`
+	ID      string      `json:"id"`      // the record's id
+	Author  string      `json:"author"`
+	Cause   string      `json:"cause"`
+	Time    time.Time   `json:"time"` // the author's clock, for people only
+	Source  string      `json:"source,omitempty"`
+	Value   T           `json:"value"`
 }
 
 // Catalog is the fold of the profile stream. It is immutable once published:
@@ -30,8 +30,8 @@
 	// goes once its subject's version has moved on, which voids the record anyway.
 	Canceled   map[string]Cancel
 	Checkpoint tlog.Offset // offset of the newest checkpoint record; 0 for none
-	Void       uint64          // records that lost a race or are invalid
-	Bad        uint64          // unreadable records
+	Void       uint64      // records that lost a race or are invalid
+	Bad        uint64      // unreadable records
 }
 
 // NewCatalog returns the catalog before the first record.
--- a/profile/checkpoint.go
+++ b/profile/checkpoint.go
@@ -12,7 +12,7 @@
 
 // CheckpointRecord is the part of a record that holds a whole catalog.
 type CheckpointRecord struct {
-	Through tlog.Offset `json:"through"` // every record up to this offset is in it
+	Through tlog.Offset     `json:"through"` // every record up to this offset is in it
 	Hash    string          `json:"hash"`    // SHA-256 of State, in hexadecimal
 	State   json.RawMessage `json:"state"`
 }
@@ -22,7 +22,7 @@
 	Profiles   map[string]Versioned[json.RawMessage] `json:"profiles"`
 	Services   map[string]Versioned[Service]         `json:"services"`
 	Canceled   map[string]Cancel                     `json:"canceled,omitempty"`
-	Checkpoint tlog.Offset                       `json:"checkpoint,omitempty"`
+	Checkpoint tlog.Offset                           `json:"checkpoint,omitempty"`
 	Void       uint64                                `json:"void"`
 	Bad        uint64                                `json:"bad"`
 }
--- a/profile/record.go
+++ b/profile/record.go
@@ -35,7 +35,7 @@
 	Time          time.Time         `json:"time"`   // the author's clock, for people only
 	Kind          DocumentKind      `json:"kind"`
 	Name          string            `json:"name"`
-	Base          tlog.Offset   `json:"base"` // the version it builds on; 0 for a new name
+	Base          tlog.Offset       `json:"base"` // the version it builds on; 0 for a new name
 	Profile       *Profile          `json:"profile,omitempty"`
 	Service       *Service          `json:"service,omitempty"`
 	Source        string            `json:"source,omitempty"` // the document as the operator wrote it
@@ -46,10 +46,10 @@
 // Cancel names a record that is void if it arrives later. Its subject and base
 // bound how long the name must be remembered.
 type Cancel struct {
-	ID   string          `json:"id"`
-	Kind DocumentKind    `json:"kind"`
-	Name string          `json:"name"`
-	Base tlog.Offset `json:"base"`
+	ID   string       `json:"id"`
+	Kind DocumentKind `json:"kind"`
+	Name string       `json:"name"`
+	Base tlog.Offset  `json:"base"`
 }
 
 // Encode returns the record's log form.
--- a/query/audit.go
+++ b/query/audit.go
@@ -24,7 +24,7 @@
 
 // Audit is a part of the audit trail, oldest entry first.
 type Audit struct {
-	Entries   []Entry         `json:"entries"`
+	Entries   []Entry     `json:"entries"`
 	Profiles  tlog.Offset `json:"profiles"`  // last offset read of the profile stream
 	Ownership tlog.Offset `json:"ownership"` // last offset read of the ownership stream
 }
--- a/query/explain.go
+++ b/query/explain.go
@@ -19,7 +19,7 @@
 	Pinned  bool            `json:"pinned,omitempty"`
 	Server  string          `json:"server"` // empty: none in force
 	Token   ownership.Token `json:"token"`
-	Record  tlog.Offset `json:"record"` // the assignment record
+	Record  tlog.Offset     `json:"record"` // the assignment record
 	Rank    int             `json:"rank"`   // succession rank; 0 is the assigned owner
 	Held    bool            `json:"held"`   // a newer owner is recorded and not in force yet
 }
@@ -146,12 +146,12 @@
 
 // RecentMove is one accepted assignment record.
 type RecentMove struct {
-	Time    time.Time       `json:"time"`
+	Time    time.Time   `json:"time"`
 	Offset  tlog.Offset `json:"offset"`
-	Service string          `json:"service"`
-	Detail  string          `json:"detail"`
-	Author  string          `json:"author"`
-	Cause   string          `json:"cause"`
+	Service string      `json:"service"`
+	Detail  string      `json:"detail"`
+	Author  string      `json:"author"`
+	Cause   string      `json:"cause"`
 }
 
 // RecentMoves returns the newest accepted assignment records, newest first.
--- a/query/profiles.go
+++ b/query/profiles.go
@@ -8,15 +8,15 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // DocumentInfo is the current version of a profile or service.
 type DocumentInfo struct {
 	Kind    profile.DocumentKind `json:"kind"`
 	Name    string               `json:"name"`
-	Version tlog.Offset      `json:"version"`
+	Version tlog.Offset          `json:"version"`
 	ID      string               `json:"id"`
 	Author  string               `json:"author"`
 	Cause   string               `json:"cause"`
@@ -168,7 +168,7 @@
 type Diff struct {
 	From    tlog.Offset `json:"from"`
 	To      tlog.Offset `json:"to"`
-	Changes []Change        `json:"changes"`
+	Changes []Change    `json:"changes"`
 }
 
 // Diff compares two versions of a document; to 0 means the current one.
--- a/query/service.go
+++ b/query/service.go
@@ -7,8 +7,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/steps"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 // Control is the part of control.Loop that reads need.
--- a/query/status.go
+++ b/query/status.go
@@ -16,9 +16,9 @@
 	Member    bool              `json:"member"`    // its joining is in force
 	MayRoute  bool              `json:"may_route"` // it holds a view lease
 	LeaseLeft time.Duration     `json:"lease_left_ns"`
-	Applied   tlog.Offset   `json:"applied"` // last ownership record folded
-	Active    tlog.Offset   `json:"active"`  // last ownership record in force
-	Catalog   tlog.Offset   `json:"catalog"` // last profile record folded
+	Applied   tlog.Offset       `json:"applied"` // last ownership record folded
+	Active    tlog.Offset       `json:"active"`  // last ownership record in force
+	Catalog   tlog.Offset       `json:"catalog"` // last profile record folded
 	Void      uint64            `json:"void_records"`
 	Members   int               `json:"members"`
 	Services  []ServiceStatus   `json:"services"`
@@ -27,15 +27,15 @@
 
 // ServiceStatus counts the shards of one service.
 type ServiceStatus struct {
-	Name    string          `json:"name"`
-	Profile string          `json:"profile"`
+	Name    string      `json:"name"`
+	Profile string      `json:"profile"`
 	Version tlog.Offset `json:"version"` // of the service document
-	Keyed   bool            `json:"keyed"`
-	Servers int             `json:"servers"`
-	Shards  int             `json:"shards"`
-	Held    int             `json:"held"`    // shards whose newer owner is not in force yet
-	Unowned int             `json:"unowned"` // shards without an owner
-	Pins    int             `json:"pins"`
+	Keyed   bool        `json:"keyed"`
+	Servers int         `json:"servers"`
+	Shards  int         `json:"shards"`
+	Held    int         `json:"held"`    // shards whose newer owner is not in force yet
+	Unowned int         `json:"unowned"` // shards without an owner
+	Pins    int         `json:"pins"`
 }
 
 // Status returns this host's view of the deployment.
@@ -79,14 +79,14 @@
 
 // HostInfo is one member as this host knows it.
 type HostInfo struct {
-	ID        string          `json:"id"` // host name and incarnation
-	Host      string          `json:"host"`
-	Domain    string          `json:"domain"`
-	PeerAddr  string          `json:"peer_addr"`
-	Self      bool            `json:"self"`
+	ID        string      `json:"id"` // host name and incarnation
+	Host      string      `json:"host"`
+	Domain    string      `json:"domain"`
+	PeerAddr  string      `json:"peer_addr"`
+	Self      bool        `json:"self"`
 	Ownership tlog.Offset `json:"ownership"` // acknowledged offset of the ownership stream
 	Profiles  tlog.Offset `json:"profiles"`  // acknowledged offset of the profile stream
-	Behind    bool            `json:"behind"`    // has not acknowledged all that this host applied
+	Behind    bool        `json:"behind"`    // has not acknowledged all that this host applied
 }
 
 // Hosts lists the members. Errors are of kind NotReady.
--- a/query/trail.go
+++ b/query/trail.go
@@ -9,8 +9,8 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
@@ -33,27 +33,27 @@
 
 // Entry is one record of the audit trail.
 type Entry struct {
-	Stream  string          `json:"stream"`
+	Stream  string      `json:"stream"`
 	Offset  tlog.Offset `json:"offset"`
-	Time    time.Time       `json:"time"` // when the log took the record, by its clock
-	ID      string          `json:"id"`
-	Author  string          `json:"author"`
-	Kind    string          `json:"kind"`
-	Subject string          `json:"subject"` // such as profile/stock or inventario/inv-03
-	Cause   string          `json:"cause"`
-	Verdict Verdict         `json:"verdict"`
-	Reason  string          `json:"reason,omitempty"` // why it is void or unreadable
-	Detail  string          `json:"detail,omitempty"` // such as the number of moves
+	Time    time.Time   `json:"time"` // when the log took the record, by its clock
+	ID      string      `json:"id"`
+	Author  string      `json:"author"`
+	Kind    string      `json:"kind"`
+	Subject string      `json:"subject"` // such as profile/stock or inventario/inv-03
+	Cause   string      `json:"cause"`
+	Verdict Verdict     `json:"verdict"`
+	Reason  string      `json:"reason,omitempty"` // why it is void or unreadable
+	Detail  string      `json:"detail,omitempty"` // such as the number of moves
 }
 
 // Move is one change of the owner of a shard or pinned key.
 type Move struct {
 	Offset tlog.Offset `json:"offset"`
-	Time   time.Time       `json:"time"`
-	From   string          `json:"from,omitempty"`
-	To     string          `json:"to"`
-	Author string          `json:"author"`
-	Cause  string          `json:"cause"`
+	Time   time.Time   `json:"time"`
+	From   string      `json:"from,omitempty"`
+	To     string      `json:"to"`
+	Author string      `json:"author"`
+	Cause  string      `json:"cause"`
 }
 
 // place names a shard of a service, or a pinned key when key is not empty.
--- a/routing/fixture_test.go
+++ b/routing/fixture_test.go
@@ -13,8 +13,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/backend"
 	"github.com/lacewingsaddle/lacewingsaddle/control"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/trial/deployment.go
+++ b/trial/deployment.go
@@ -16,11 +16,11 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/loadgen"
-	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/keyserver"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/logsvc"
+	"github.com/lacewingsaddle/lacewingsaddle/tlog"
 )
 
 const (
