--- /dev/null
+++ b/assigner/messages.go
@@ -0,0 +1,163 @@
+package assigner
+
+import (
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// Time is a moment on the host's boot-time clock, which counts suspensions.
+type Time = time.Duration
+
+// Host names one run of an entry host's process.
+type Host struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Peer        string `json:"peer"` // address of its peer endpoint
+}
+
+// Record is the assignment as the store keeps it. The newest record is the
+// whole state; a record is appended only at the end that its author has read.
+type Record struct {
+	Epoch  uint64 `json:"epoch"`
+	Change uint64 `json:"change"`
+	// Assigner is empty after a resignation.
+	Assigner Host             `json:"assigner"`
+	Fences   keyrange.Fence   `json:"fences"` // highest token handed out
+	Tables   []keyrange.Table `json:"tables"`
+}
+
+// Version returns the version of the record's map.
+func (r Record) Version() keyrange.Version {
+	return keyrange.Version{Epoch: r.Epoch, Change: r.Change}
+}
+
+// StoreResult tells how a call to the store ended.
+type StoreResult uint8
+
+// The ends of a call to the store.
+const (
+	StoreOK       StoreResult = iota
+	StoreConflict             // the partition's end had moved; nothing was appended
+	StoreFailed               // nothing was done
+	StoreDoubt                // an append may have been done, or may yet be
+)
+
+// Loaded is the answer to a Load.
+type Loaded struct {
+	Result StoreResult
+	Start  Time    // when the read began
+	Record *Record // nil when there is none
+	End    uint64  // end of the partition
+}
+
+// Appended is the answer to an Append.
+type Appended struct {
+	Result StoreResult
+	Start  Time
+	End    uint64
+}
+
+// Confirmed is the answer to a Confirm.
+type Confirmed struct {
+	Result StoreResult
+	Start  Time
+	End    uint64
+}
+
+// CallResult tells how a grant or a release ended.
+type CallResult uint8
+
+// The ends of a grant or a release.
+const (
+	CallOK      CallResult = iota
+	CallFenced             // the server has seen a higher token
+	CallRefused            // no process listens at the address
+	CallFailed             // no answer, or one that says nothing
+)
+
+// Granted is the answer to a Grant.
+type Granted struct {
+	Service string
+	Range   keyrange.Range
+	Result  CallResult
+}
+
+// Released is the answer to a Release.
+type Released struct {
+	Service  string
+	Range    keyrange.Range
+	Holder   keyrange.Holder
+	Result   CallResult
+	Handover string // passes the holder's state on to the next owner
+}
+
+// KeyLoad is the number of requests for one key in a report.
+type KeyLoad struct {
+	Service string       `json:"s"`
+	Key     keyrange.Key `json:"k"`
+	Count   int          `json:"n"`
+}
+
+// ServerTime is the time that one request took at a server.
+type ServerTime struct {
+	ID     string `json:"i"`
+	Millis int    `json:"m"`
+}
+
+// Report is what a host saw of the load since its last report.
+type Report struct {
+	Keys  []KeyLoad    `json:"keys,omitempty"`
+	Times []ServerTime `json:"times,omitempty"`
+	// Ended lists servers that refused a connection.
+	Ended []keyrange.Holder `json:"ended,omitempty"`
+}
+
+// Action is something that the machine wants done.
+type Action interface{ action() }
+
+// Load reads the newest record and the partition's end.
+type Load struct{}
+
+// Append appends a record at an offset.
+type Append struct {
+	At     uint64
+	Record Record
+}
+
+// Confirm reads the partition's end alone.
+type Confirm struct{}
+
+// Grant gives a range to its owner, or renews it.
+type Grant struct {
+	Service  string
+	Address  string
+	Range    keyrange.Range
+	Hold     time.Duration
+	Handover string
+}
+
+// Release takes a range back from an earlier holder under the next owner's token.
+type Release struct {
+	Service string
+	Address string
+	Range   keyrange.Range
+	Holder  keyrange.Holder
+}
+
+// Publish tells every host the map.
+type Publish struct{ Map *keyrange.Map }
+
+func (Load) action()    {}
+func (Append) action()  {}
+func (Confirm) action() {}
+func (Grant) action()   {}
+func (Release) action() {}
+func (Publish) action() {}
+
+// Servers is the view of the backend servers that the machine plans with.
+type Servers struct {
+	Snapshot *directory.Snapshot
+	Sharded  []string // names of the sharded services
+}
--- /dev/null
+++ b/assigner/plan.go
@@ -0,0 +1,424 @@
+package assigner
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+const (
+	// restTime is how long a range stays after a move for the sake of balance.
+	restTime = 1500 * time.Millisecond
+	// movesPerPlan bounds the moves for the sake of balance in one plan.
+	movesPerPlan = 6
+	// movingAtOnce bounds the ranges that are not granted while balance is sought.
+	movingAtOnce = 10
+	// imbalance is the load over the mean from which a server gives keys away.
+	imbalance = 1.25
+	// noiseSigmas is how many standard deviations of counting noise a server's
+	// load must lie above the mean before it gives keys away.
+	noiseSigmas = 1.5
+	// smallestLoad is the number of remembered requests per server below which
+	// balance is not sought.
+	smallestLoad = 3.0
+	// uniformShare is the share of the weight that is spread evenly over all
+	// keys, for keys that no request has asked for yet.
+	uniformShare = 0.15
+	// orphanPieces is the number of pieces into which a fair share of orphaned
+	// load is cut.
+	orphanPieces = 3
+)
+
+// node is a backend server in a plan.
+type node struct {
+	holder   keyrange.Holder
+	capacity float64 // relative throughput: slots × speed
+	load     float64
+}
+
+func (n *node) use() float64 { return n.load / n.capacity }
+
+// servicePlan is the planning of one service.
+type servicePlan struct {
+	service string
+	weights *weights
+	nodes   []*node
+	byID    map[keyrange.Holder]*node
+	ranges  []planned
+	moves   int
+	changed bool
+}
+
+// planned is a range in a plan.
+type planned struct {
+	keyrange.Range
+	state *rangeState // nil when the range is new
+	load  float64
+	owner *node // nil when the owner cannot serve
+}
+
+// plan appends a record when ranges have no usable owner or load is uneven.
+func (m *Machine) plan(now Time) {
+	m.load.decay(now)
+	fences := m.known.Fences
+	changed := false
+	var tables []keyrange.Table
+	for _, name := range m.serviceNames() {
+		p := m.planService(now, name)
+		if p == nil {
+			tables = append(tables, m.tableOf(name))
+			continue
+		}
+		p.placeOrphans()
+		if m.moving(name) < movingAtOnce {
+			p.balance(now)
+		}
+		if p.changed {
+			changed = true
+			p.number(&fences)
+		}
+		tables = append(tables, p.table())
+	}
+	if !changed {
+		return
+	}
+	rec := m.known
+	rec.Change = m.change + 1
+	m.change = rec.Change
+	rec.Fences = fences
+	rec.Tables = tables
+	m.append(rec)
+}
+
+// serviceNames returns the services that have ranges or shall have some, sorted.
+func (m *Machine) serviceNames() []string {
+	names := slices.Clone(m.sharded)
+	for _, r := range m.ranges {
+		names = append(names, r.service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (m *Machine) tableOf(service string) keyrange.Table {
+	t := keyrange.Table{Service: service}
+	for _, r := range m.ranges {
+		if r.service == service {
+			c := r.Range
+			c.Granted = false
+			t.Ranges = append(t.Ranges, c)
+		}
+	}
+	return t
+}
+
+func (m *Machine) moving(service string) int {
+	n := 0
+	for _, r := range m.ranges {
+		if r.service == service && !r.Granted {
+			n++
+		}
+	}
+	return n
+}
+
+// usable returns the servers of a service that may own keys.
+func (m *Machine) usable(service string) []directory.Server {
+	var out []directory.Server
+	for _, v := range m.servers.Servers {
+		if v.Service == service && v.State == directory.Ready && !m.ended[v.Holder] {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// planService returns nil when nothing can be planned.
+func (m *Machine) planService(now Time, name string) *servicePlan {
+	servers := m.usable(name)
+	if len(servers) == 0 {
+		return nil
+	}
+	ranges := m.tableOf(name).Ranges
+	if len(ranges) == 0 && now-m.firstSee[name] < m.cfg.Settle {
+		return nil
+	}
+	p := &servicePlan{service: name, byID: map[keyrange.Holder]*node{}}
+	p.weights = newWeights(m.load.of(name))
+	ids := make([]string, 0, len(servers))
+	for _, v := range servers {
+		ids = append(ids, v.Holder.ID)
+	}
+	speeds := m.load.speeds(ids)
+	for _, v := range servers {
+		n := &node{holder: v.Holder, capacity: float64(max(v.Slots, 1)) * speeds[v.Holder.ID]}
+		if v.Cold > 0 {
+			n.capacity /= 2
+		}
+		p.nodes = append(p.nodes, n)
+		p.byID[v.Holder] = n
+	}
+	if len(ranges) == 0 {
+		ranges = []keyrange.Range{{From: 0, To: keyrange.MaxKey}}
+	}
+	for _, r := range ranges {
+		p.addRange(r, m.stateOf(name, r.From))
+	}
+	return p
+}
+
+func (m *Machine) stateOf(service string, k keyrange.Key) *rangeState {
+	for _, r := range m.ranges {
+		if r.service == service && r.Contains(k) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (p *servicePlan) addRange(r keyrange.Range, s *rangeState) {
+	item := planned{Range: r, state: s, load: p.weights.span(r.From, r.To), owner: p.byID[r.Owner]}
+	if s != nil {
+		item.Prior = slices.Clone(s.Prior)
+		if s.refence && item.owner != nil {
+			item.Fence = 0
+			p.changed = true
+		}
+	}
+	if item.owner != nil {
+		item.owner.load += item.load
+	}
+	p.ranges = append(p.ranges, item)
+}
+
+// placeOrphans gives every range without a usable owner to the servers with
+// the least load, cutting large ones.
+func (p *servicePlan) placeOrphans() {
+	piece := p.weights.total / float64(len(p.nodes)*orphanPieces)
+	fresh := len(p.ranges) == 1 && p.ranges[0].Owner.ID == ""
+	if fresh {
+		p.spreadEvenly()
+		return
+	}
+	var out []planned
+	var orphans []planned
+	for _, r := range p.ranges {
+		if r.owner != nil {
+			out = append(out, r)
+			continue
+		}
+		orphans = append(orphans, p.cut(r, piece)...)
+	}
+	if len(orphans) == 0 {
+		return
+	}
+	sort.SliceStable(orphans, func(i, j int) bool { return orphans[i].load > orphans[j].load })
+	for i := range orphans {
+		p.give(&orphans[i], p.leastUsed(orphans[i].load))
+	}
+	p.ranges = append(out, orphans...)
+	p.sort()
+}
+
+func (p *servicePlan) sort() {
+	sort.Slice(p.ranges, func(i, j int) bool { return p.ranges[i].From < p.ranges[j].From })
+}
+
+// spreadEvenly makes the first assignment: one span for each server, by capacity.
+func (p *servicePlan) spreadEvenly() {
+	sum := 0.0
+	for _, n := range p.nodes {
+		sum += n.capacity
+	}
+	var out []planned
+	from, done := 0, 0.0
+	for i, n := range p.nodes {
+		done += n.capacity / sum
+		to := int(math.Round(done*float64(keyrange.KeyCount))) - 1
+		if i == len(p.nodes)-1 {
+			to = int(keyrange.MaxKey)
+		}
+		if to < from {
+			continue
+		}
+		r := planned{Range: keyrange.Range{From: keyrange.Key(from), To: keyrange.Key(to)}}
+		r.load = p.weights.span(r.From, r.To)
+		p.give(&r, n)
+		out = append(out, r)
+		from = to + 1
+	}
+	p.ranges = out
+}
+
+// give moves r to n. The former owner joins the holders to be released.
+func (p *servicePlan) give(r *planned, n *node) {
+	if r.owner != nil {
+		r.owner.load -= r.load
+	}
+	if r.Owner.ID != "" && r.Owner != n.holder && !slices.Contains(r.Prior, r.Owner) {
+		r.Prior = append(slices.Clone(r.Prior), r.Owner)
+	}
+	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(h keyrange.Holder) bool { return h == n.holder })
+	r.Owner = n.holder
+	r.owner = n
+	r.Fence = 0
+	n.load += r.load
+	p.changed = true
+}
+
+// cut splits r into parts of at most limit load each, where keys allow it.
+func (p *servicePlan) cut(r planned, limit float64) []planned {
+	var out []planned
+	for r.load > limit*1.2 && r.Width() > 1 && limit > 0 {
+		k := p.weights.reach(r.From, r.To, limit)
+		if k >= r.To {
+			break
+		}
+		head, tail := p.split(r, k)
+		out = append(out, head)
+		r = tail
+	}
+	return append(out, r)
+}
+
+// split cuts r after key k.
+func (p *servicePlan) split(r planned, k keyrange.Key) (head, tail planned) {
+	head, tail = r, r
+	head.To, tail.From = k, k+1
+	head.load = p.weights.span(head.From, head.To)
+	tail.load = p.weights.span(tail.From, tail.To)
+	return head, tail
+}
+
+// leastUsed returns the server whose use is lowest once it carries load more.
+func (p *servicePlan) leastUsed(load float64) *node {
+	best := p.nodes[0]
+	for _, n := range p.nodes[1:] {
+		if (n.load+load)/n.capacity < (best.load+load)/best.capacity {
+			best = n
+		}
+	}
+	return best
+}
+
+// balance moves load from the fullest servers to the emptiest. It answers a
+// load that gathers on a few neighbouring keys, and servers of unequal speed.
+func (p *servicePlan) balance(now Time) {
+	if p.weights.seen < smallestLoad*float64(len(p.nodes)) || len(p.nodes) < 2 {
+		return
+	}
+	capacity := 0.0
+	for _, n := range p.nodes {
+		capacity += n.capacity
+	}
+	mean := p.weights.total / capacity
+	for range movesPerPlan {
+		if !p.moveOne(now, mean) {
+			return
+		}
+	}
+}
+
+// moveOne makes the most useful move and reports whether there was one.
+func (p *servicePlan) moveOne(now Time, mean float64) bool {
+	sort.SliceStable(p.nodes, func(i, j int) bool { return p.nodes[i].use() > p.nodes[j].use() })
+	cold := p.nodes[len(p.nodes)-1]
+	for _, hot := range p.nodes {
+		fair := mean * hot.capacity
+		if hot.use() < mean*imbalance || hot.load-fair < noiseSigmas*math.Sqrt(max(fair, 1)) {
+			continue
+		}
+		amount := min(hot.load-fair, mean*cold.capacity-cold.load)
+		if amount <= 0 {
+			return false
+		}
+		if p.shift(now, hot, cold, amount) {
+			return true
+		}
+	}
+	return false
+}
+
+// shift moves about amount of load from hot to cold.
+func (p *servicePlan) shift(now Time, hot, cold *node, amount float64) bool {
+	best := -1
+	for i := range p.ranges {
+		r := &p.ranges[i]
+		if r.owner != hot || r.Fence == 0 || r.state == nil || !r.state.Granted {
+			continue
+		}
+		if now-r.state.movedAt < restTime || r.load <= amount*0.2 {
+			continue
+		}
+		if best < 0 || closer(r.load, p.ranges[best].load, amount) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	r := p.ranges[best]
+	if r.load <= amount*1.2 {
+		p.give(&p.ranges[best], cold)
+		return true
+	}
+	return p.cutAndGive(best, cold, amount)
+}
+
+// closer prefers a load that fits amount, else the largest.
+func closer(a, b, amount float64) bool {
+	fitsA, fitsB := a <= amount*1.2, b <= amount*1.2
+	if fitsA != fitsB {
+		return fitsA && a > amount*0.5 || !fitsA && b <= amount*0.5
+	}
+	return a > b
+}
+
+// cutAndGive cuts about amount of load off the end of a range that needs fewer
+// keys for it, and gives the piece to n.
+func (p *servicePlan) cutAndGive(i int, n *node, amount float64) bool {
+	r := p.ranges[i]
+	if r.Width() < 2 {
+		return false
+	}
+	low := p.weights.reach(r.From, r.To, amount)
+	high := p.weights.reach(r.From, r.To, r.load-amount)
+	low, high = min(low, r.To-1), min(high, r.To-1)
+	var keep, move planned
+	if int(low)-int(r.From) <= int(r.To)-int(high) {
+		move, keep = p.split(r, low)
+	} else {
+		keep, move = p.split(r, high)
+	}
+	if move.load <= 0 || move.load > 2*amount+1 && move.load > r.load*0.9 {
+		return false
+	}
+	p.give(&move, n)
+	p.ranges[i] = keep
+	p.ranges = append(p.ranges, move)
+	p.sort()
+	return true
+}
+
+// number gives every moved range the next fencing token.
+func (p *servicePlan) number(fences *keyrange.Fence) {
+	for i := range p.ranges {
+		if p.ranges[i].Fence == 0 {
+			*fences++
+			p.ranges[i].Fence = *fences
+		}
+	}
+}
+
+func (p *servicePlan) table() keyrange.Table {
+	t := keyrange.Table{Service: p.service}
+	for _, r := range p.ranges {
+		r.Granted = false
+		t.Ranges = append(t.Ranges, r.Range)
+	}
+	return t
+}
--- /dev/null
+++ b/assigner/ranges.go
@@ -0,0 +1,169 @@
+package assigner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// rangeState is a recorded range and how far its grant has come.
+type rangeState struct {
+	service string
+	keyrange.Range
+	movedAt Time
+	// freeAt is when no earlier holder can hold the range any longer.
+	freeAt Time
+	// heldUntil is the latest moment at which the owner may hold the range.
+	heldUntil Time
+	handover  string
+
+	granting  bool // a grant is outstanding
+	refence   bool // the owner asks for a higher token
+	nextGrant Time
+	calls     []*releaseCall
+}
+
+// releaseCall is the release of a range at one earlier holder.
+type releaseCall struct {
+	holder keyrange.Holder
+	busy   bool
+	next   Time
+}
+
+func newRangeState(service string, r keyrange.Range, bound, moved Time) *rangeState {
+	return &rangeState{service: service, Range: r, freeAt: bound, heldUntil: bound, movedAt: moved}
+}
+
+func (r *rangeState) is(service string, other keyrange.Range) bool {
+	return r.service == service && r.From == other.From && r.To == other.To && r.SameGrant(other)
+}
+
+func (r *rangeState) clear(h keyrange.Holder) {
+	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(p keyrange.Holder) bool { return p == h })
+}
+
+func (r *rangeState) call(h keyrange.Holder) *releaseCall {
+	for _, c := range r.calls {
+		if c.holder == h {
+			return c
+		}
+	}
+	c := &releaseCall{holder: h}
+	r.calls = append(r.calls, c)
+	return c
+}
+
+// driveRange releases the range at its earlier holders, then grants and renews it.
+func (m *Machine) driveRange(now Time, r *rangeState, hold time.Duration) {
+	if r.Owner.ID == "" {
+		return
+	}
+	if len(r.Prior) > 0 {
+		m.releasePrior(now, r)
+	}
+	if len(r.Prior) > 0 || m.ended[r.Owner] || r.granting || now < r.nextGrant {
+		return
+	}
+	addr := m.address(r.Owner)
+	if addr == "" {
+		return
+	}
+	r.granting = true
+	r.nextGrant = now + m.cfg.RenewEvery
+	r.heldUntil = max(r.heldUntil, now+m.holdEnd(hold))
+	m.do(Grant{Service: r.service, Address: addr, Range: r.Range, Hold: hold, Handover: r.handover})
+}
+
+// releasePrior clears the earlier holders that have ended or can hold no
+// longer, and asks the others to release.
+func (m *Machine) releasePrior(now Time, r *rangeState) {
+	for _, h := range r.Prior {
+		if h == r.Owner || m.ended[h] || now >= r.freeAt || m.replaced(h) {
+			r.clear(h)
+			continue
+		}
+		c := r.call(h)
+		addr := m.address(h)
+		if c.busy || now < c.next || addr == "" {
+			continue
+		}
+		c.busy = true
+		m.do(Release{Service: r.service, Address: addr, Range: r.Range, Holder: h})
+	}
+}
+
+// replaced reports whether the directory shows a later life of h.
+func (m *Machine) replaced(h keyrange.Holder) bool {
+	v := m.servers.Find(h.ID)
+	return v != nil && v.Holder.Born > h.Born
+}
+
+// StepGranted takes the answer to a Grant.
+func (m *Machine) StepGranted(now Time, e Granted) {
+	for _, r := range m.ranges {
+		if !r.SameGrant(e.Range) || r.service != e.Service {
+			continue
+		}
+		if r.From < e.Range.From || r.To > e.Range.To {
+			continue
+		}
+		r.granting = false
+		switch e.Result {
+		case CallOK:
+			if !r.Granted {
+				r.Granted = true
+				m.dirty = true
+			}
+		case CallRefused:
+			m.markEnded(r.Owner)
+		case CallFenced:
+			if r.From == e.Range.From && r.To == e.Range.To {
+				m.fenced(now, r)
+			} // else the range was cut while the call was on its way
+		default:
+			r.nextGrant = now + retryCall
+		}
+	}
+}
+
+// fenced gives a range a new token when its owner has seen a higher one: a
+// release whose answer was lost may have raised it.
+func (m *Machine) fenced(now Time, r *rangeState) {
+	r.nextGrant = now + retryCall
+	r.Granted = false
+	r.refence = true
+	m.dirty = true
+	m.planned = 0
+}
+
+// StepReleased takes the answer to a Release.
+func (m *Machine) StepReleased(now Time, e Released) {
+	if e.Result == CallRefused {
+		m.markEnded(e.Holder)
+	}
+	for _, r := range m.ranges {
+		if !r.is(e.Service, e.Range) {
+			continue
+		}
+		c := r.call(e.Holder)
+		c.busy = false
+		c.next = now + retryCall
+		if e.Result == CallOK {
+			r.clear(e.Holder)
+			if e.Handover != "" {
+				r.handover = e.Handover
+			}
+		}
+	}
+}
+
+// address returns where a holder listens, or "" when the directory and the
+// past do not tell.
+func (m *Machine) address(h keyrange.Holder) string {
+	if v := m.servers.Find(h.ID); v != nil && v.Holder == h {
+		m.load.remember(h, v.Address)
+		return v.Address
+	}
+	return m.load.address(h)
+}
--- /dev/null
+++ b/cluster/cluster.go
@@ -0,0 +1,406 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// Times of the control loop.
+const (
+	tickLeading = 20 * time.Millisecond
+	tickFollow  = 60 * time.Millisecond
+	// syncWait is how long a question waits at the assigner for news.
+	syncWait = 200 * time.Millisecond
+	// syncTimeout bounds a question; the assigner is then taken as silent.
+	syncTimeout = 600 * time.Millisecond
+	// abandonAfter is how long the assigner's own confirmations fail before it
+	// asks the others to take over.
+	abandonAfter = 500 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 256
+	// ranks is the number of places in the order of claims.
+	ranks = 8
+)
+
+// Calls to the store and to backend servers.
+const (
+	confirmTimeout = 900 * time.Millisecond
+	loadTimeout    = 1200 * time.Millisecond
+	appendTimeout  = 1500 * time.Millisecond
+	grantTimeout   = 700 * time.Millisecond
+	// releaseTimeout is long since a server answers when running work has ended.
+	releaseTimeout = 8 * time.Second
+)
+
+// Config holds what a cluster needs to know of its host.
+type Config struct {
+	Self    assigner.Host
+	HoldMax time.Duration // longest grant that backend servers accept
+	Clock   Clock
+}
+
+// Cluster is the control state of one entry host.
+type Cluster struct {
+	cfg      Config
+	store    Store
+	backends Backends
+	logger   *zap.Logger
+	views    *views
+	stats    Stats
+
+	events chan func()
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	// Owned by the control goroutine.
+	machine   *assigner.Machine
+	hosts     map[string]assigner.Host
+	rawConfig []byte
+	troubled  time.Duration // since when confirmations fail, 0 when they do not
+	stopping  bool
+	ledBefore bool
+
+	mu     sync.Mutex // guards report
+	report assigner.Report
+	link   hostlink.Client
+	relink chan struct{} // wakes the follower
+}
+
+// Stats counts what the control loop did.
+type Stats struct {
+	StoreCalls Counter
+	StoreFails Counter
+	Grants     Counter
+	GrantFails Counter
+	Releases   Counter
+	Epochs     Counter
+	MapChanges Counter
+}
+
+// New returns a cluster that is not started.
+func New(cfg Config, store Store, backends Backends, logger *zap.Logger) *Cluster {
+	if cfg.Clock == nil {
+		cfg.Clock = BootClock
+	}
+	c := &Cluster{
+		cfg:      cfg,
+		store:    store,
+		backends: backends,
+		logger:   logger.Named("cluster"),
+		views:    newViews(),
+		events:   make(chan func(), eventQueue),
+		hosts:    map[string]assigner.Host{cfg.Self.Name: cfg.Self},
+		relink:   make(chan struct{}, 1),
+	}
+	c.machine = assigner.New(assigner.Config{
+		Self:               cfg.Self,
+		Lease:              1200 * time.Millisecond,
+		ConfirmEvery:       400 * time.Millisecond,
+		SilenceBeforeClaim: 900 * time.Millisecond,
+		RankDelay:          120 * time.Millisecond,
+		Hold:               min(4*time.Second, cfg.HoldMax),
+		HoldMax:            cfg.HoldMax,
+		RenewEvery:         1200 * time.Millisecond,
+		Settle:             1800 * time.Millisecond,
+	}, cfg.Clock())
+	return c
+}
+
+// View returns the newest view.
+func (c *Cluster) View() *View { return c.views.current.Load() }
+
+// Stats returns the counters.
+func (c *Cluster) Stats() *Stats { return &c.stats }
+
+// Start begins to watch and to take part.
+func (c *Cluster) Start() {
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	for _, f := range []func(){c.run, c.watchConfig, c.watchServers, c.watchHosts, c.follow} {
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			f()
+		}()
+	}
+}
+
+// Stop ends all work.
+func (c *Cluster) Stop() {
+	c.cancel()
+	c.wait.Wait()
+}
+
+// Resign hands the epoch on before a planned stop.
+func (c *Cluster) Resign() {
+	c.post(func() {
+		c.stopping = true
+		c.machine.Resign(c.cfg.Clock())
+		c.logger.Info("cluster: planned stop, another host may become the assigner")
+	})
+}
+
+// post runs f in the control goroutine.
+func (c *Cluster) post(f func()) {
+	select {
+	case c.events <- f:
+	case <-c.ctx.Done():
+	}
+}
+
+// run is the control goroutine.
+func (c *Cluster) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.events:
+			f()
+		case <-timer.C:
+			timer.Reset(c.tickTime())
+		}
+		now := c.cfg.Clock()
+		c.machine.Tick(now)
+		c.carryOut(now)
+		c.noteRole(now)
+	}
+}
+
+func (c *Cluster) tickTime() time.Duration {
+	if c.ledBefore {
+		return tickLeading
+	}
+	return tickFollow
+}
+
+func (c *Cluster) noteRole(now time.Duration) {
+	leads := c.machine.Leads(now)
+	if c.machine.StoreTroubled(now) && c.troubled == 0 {
+		c.troubled = now
+	} else if !c.machine.StoreTroubled(now) {
+		c.troubled = 0
+	}
+	if leads == c.ledBefore {
+		return
+	}
+	c.ledBefore = leads
+	c.stats.Epochs.Add(1)
+	c.logger.Info("cluster: role changed", zap.Bool("assigner", leads), zap.Uint64("epoch", c.machine.Epoch()))
+	c.wakeFollower()
+}
+
+func (c *Cluster) wakeFollower() {
+	select {
+	case c.relink <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+func (c *Cluster) carryOut(now time.Duration) {
+	for _, a := range c.machine.Ready() {
+		switch a := a.(type) {
+		case assigner.Load:
+			c.call(loadTimeout, c.load)
+		case assigner.Append:
+			c.call(appendTimeout, func(ctx context.Context) { c.append(ctx, a) })
+		case assigner.Confirm:
+			end := c.machine.End()
+			c.call(confirmTimeout, func(ctx context.Context) { c.confirm(ctx, end) })
+		case assigner.Grant:
+			c.call(grantTimeout, func(ctx context.Context) { c.grant(ctx, a) })
+		case assigner.Release:
+			c.call(releaseTimeout, func(ctx context.Context) { c.release(ctx, a) })
+		case assigner.Publish:
+			c.takeMap(a.Map)
+		}
+	}
+}
+
+// call runs f beside the control goroutine with a time limit.
+func (c *Cluster) call(limit time.Duration, f func(context.Context)) {
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		defer cancel()
+		f(ctx)
+	}()
+}
+
+func (c *Cluster) load(ctx context.Context) {
+	start := c.cfg.Clock()
+	data, end, err := c.store.LoadAssignment(ctx)
+	e := assigner.Loaded{Result: c.storeResult("load the assignment", err), Start: start, End: end}
+	if err == nil && data != nil {
+		rec := &assigner.Record{}
+		if err := json.Unmarshal(data, rec); err != nil {
+			c.logger.Error("cluster: unreadable assignment record", zap.Error(err))
+			e.Result = assigner.StoreFailed
+		}
+		e.Record = rec
+	}
+	c.post(func() {
+		c.machine.StepLoaded(c.cfg.Clock(), e)
+		c.wakeFollower()
+	})
+}
+
+func (c *Cluster) append(ctx context.Context, a assigner.Append) {
+	start := c.cfg.Clock()
+	data, err := json.Marshal(a.Record)
+	if err != nil {
+		c.logger.Error("cluster: record not encodable", zap.Error(err))
+		c.post(func() {
+			c.machine.StepAppended(c.cfg.Clock(), assigner.Appended{Result: assigner.StoreFailed})
+		})
+		return
+	}
+	end, err := c.store.AppendAssignment(ctx, a.At, data)
+	e := assigner.Appended{Result: c.storeResult("append an assignment", err), Start: start, End: end}
+	c.logger.Info("cluster: assignment recorded", zap.Uint64("epoch", a.Record.Epoch),
+		zap.Uint64("change", a.Record.Change), zap.Uint64("at", a.At), zap.Int("bytes", len(data)), zap.Error(err))
+	c.post(func() { c.machine.StepAppended(c.cfg.Clock(), e) })
+}
+
+func (c *Cluster) confirm(ctx context.Context, from uint64) {
+	start := c.cfg.Clock()
+	end, err := c.store.AssignmentEnd(ctx, from)
+	e := assigner.Confirmed{Result: c.storeResult("confirm the epoch", err), Start: start, End: end}
+	c.post(func() { c.machine.StepConfirmed(c.cfg.Clock(), e) })
+}
+
+// storeResult tells the machine how a call ended and logs a failure.
+func (c *Cluster) storeResult(what string, err error) assigner.StoreResult {
+	c.stats.StoreCalls.Add(1)
+	if err == nil {
+		return assigner.StoreOK
+	}
+	c.stats.StoreFails.Add(1)
+	c.logger.Warn("cluster: store call failed", zap.String("call", what), zap.Error(err))
+	switch fault.KindOf(err) {
+	case fault.LogConflict:
+		return assigner.StoreConflict
+	case fault.InDoubt:
+		return assigner.StoreDoubt
+	}
+	return assigner.StoreFailed
+}
+
+func (c *Cluster) grant(ctx context.Context, a assigner.Grant) {
+	c.stats.Grants.Add(1)
+	result, err := c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+	if result != assigner.CallOK {
+		c.stats.GrantFails.Add(1)
+		c.logger.Warn("cluster: grant failed", zap.String("server", a.Range.Owner.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
+			zap.Uint16("from", uint16(a.Range.From)), zap.Uint8("result", uint8(result)), zap.Error(err))
+	}
+	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
+	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
+}
+
+func (c *Cluster) release(ctx context.Context, a assigner.Release) {
+	c.stats.Releases.Add(1)
+	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
+	c.logger.Info("cluster: keys released", zap.String("server", a.Holder.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
+		zap.Uint16("from", uint16(a.Range.From)), zap.Uint16("to", uint16(a.Range.To)), zap.Uint8("result", uint8(result)), zap.Error(err))
+	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
+	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
+}
+
+// takeMap publishes a newer map. An older one is dropped: the view never goes back.
+func (c *Cluster) takeMap(m *keyrange.Map) {
+	old := c.View().Owners
+	if old != nil && !old.Version.Less(m.Version) {
+		return
+	}
+	m.KeepGranted(old)
+	c.stats.MapChanges.Add(1)
+	c.views.change(func(v *View) { v.Owners = m })
+}
+
+// takeServers publishes a newer directory.
+func (c *Cluster) takeServers(s *directory.Snapshot) {
+	if c.View().Servers.Next > s.Next {
+		return
+	}
+	changed := c.View().Servers.Changed != s.Changed
+	if changed {
+		c.views.change(func(v *View) { v.Servers = s })
+	}
+	c.tellMachine(s)
+}
+
+func (c *Cluster) tellMachine(s *directory.Snapshot) {
+	var sharded []string
+	if t := c.View().Routes; t != nil {
+		for _, v := range t.Services {
+			if v.Sharded {
+				sharded = append(sharded, v.Name)
+			}
+		}
+	}
+	sort.Strings(sharded)
+	c.machine.SetServers(c.cfg.Clock(), assigner.Servers{Snapshot: s, Sharded: sharded})
+}
+
+// takeConfig puts a newer configuration in force.
+func (c *Cluster) takeConfig(data []byte) {
+	table, err := c.store.DecodeConfig(data)
+	if err != nil {
+		c.logger.Error("cluster: configuration unusable, keeping the last one", zap.Error(err))
+		return
+	}
+	if old := c.View().Routes; old != nil && table.Version <= old.Version {
+		return
+	}
+	c.rawConfig = data
+	c.logger.Info("cluster: configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes))
+	c.views.change(func(v *View) { v.Routes = table })
+	c.tellMachine(c.View().Servers)
+}
+
+// takeHosts adds registered hosts and sets the rank.
+func (c *Cluster) takeHosts(hosts []assigner.Host) {
+	for _, h := range hosts {
+		c.hosts[h.Name] = h
+	}
+	c.hosts[c.cfg.Self.Name] = c.cfg.Self
+	c.machine.SetRank(c.rank())
+	n := len(c.hosts)
+	if c.View().Hosts != n {
+		c.views.change(func(v *View) { v.Hosts = n })
+	}
+}
+
+// rank orders hosts by a hash of name and epoch, so that claims do not collide.
+func (c *Cluster) rank() int {
+	own := c.order(c.cfg.Self.Name)
+	n := 0
+	for name := range c.hosts {
+		if c.order(name) < own {
+			n++
+		}
+	}
+	return n % ranks
+}
+
+func (c *Cluster) order(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name + "/" + strconv.FormatUint(c.machine.Epoch(), 10))) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/cluster/follow.go
@@ -0,0 +1,218 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+const (
+	// followPause is the pause after a question that failed or met a host that
+	// does not lead.
+	followPause = 100 * time.Millisecond
+	// maxReport bounds the entries of one report.
+	maxReport = 2000
+)
+
+// AddLoad counts a request for a key.
+func (c *Cluster) AddLoad(service string, key keyrange.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.report.Keys) < maxReport {
+		c.report.Keys = append(c.report.Keys, assigner.KeyLoad{Service: service, Key: key, Count: 1})
+	}
+}
+
+// AddTime notes how long a request took at a server.
+func (c *Cluster) AddTime(server string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.report.Times) < maxReport {
+		c.report.Times = append(c.report.Times, assigner.ServerTime{ID: server, Millis: int(took.Milliseconds())})
+	}
+}
+
+// AddEnded notes that a server refused a connection: its process has ended.
+func (c *Cluster) AddEnded(h keyrange.Holder) {
+	c.mu.Lock()
+	c.report.Ended = append(c.report.Ended, h)
+	c.mu.Unlock()
+	c.wakeFollower()
+}
+
+func (c *Cluster) takeReport() assigner.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.report
+	c.report = assigner.Report{}
+	return out
+}
+
+// question is a question and where it goes. Host is empty when this host leads
+// or knows no assigner.
+type question struct {
+	to   assigner.Host
+	body hostlink.Question
+}
+
+// follow asks the assigner again and again; as the assigner it feeds its own
+// reports to the machine.
+func (c *Cluster) follow() {
+	for c.ctx.Err() == nil {
+		q := c.nextQuestion()
+		if q.to.Peer == "" {
+			c.pause(followPause)
+			continue
+		}
+		if !c.ask(q) {
+			c.pause(followPause)
+		}
+	}
+}
+
+// pause waits for d, or less when the follower is woken.
+func (c *Cluster) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.relink:
+	case <-c.ctx.Done():
+	}
+}
+
+func (c *Cluster) nextQuestion() question {
+	got := make(chan question, 1)
+	report := c.takeReport()
+	c.post(func() {
+		now := c.cfg.Clock()
+		if c.machine.Leads(now) {
+			c.machine.AddReport(now, report)
+			got <- question{}
+			return
+		}
+		q := question{to: c.machine.Assigner()}
+		if q.to.Name == c.cfg.Self.Name {
+			q.to = assigner.Host{}
+		}
+		v := c.View()
+		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds())}
+		if v.Owners != nil {
+			q.body.Map = v.Owners.Version
+		}
+		if v.Routes != nil {
+			q.body.Config = v.Routes.Version
+		}
+		got <- q
+	})
+	select {
+	case q := <-got:
+		return q
+	case <-c.ctx.Done():
+		return question{}
+	}
+}
+
+// ask asks once and reports whether the assigner answered.
+func (c *Cluster) ask(q question) bool {
+	ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
+	defer cancel()
+	a, err := c.link.Sync(ctx, q.to.Peer, &q.body)
+	if err != nil {
+		c.logger.Debug("cluster: assigner did not answer", zap.String("assigner", q.to.Name), zap.Error(err))
+		return false
+	}
+	c.post(func() { c.takeAnswer(a) })
+	return a.Leads
+}
+
+func (c *Cluster) takeAnswer(a *hostlink.Answer) {
+	now := c.cfg.Clock()
+	if a.Leads {
+		c.machine.HeardAssigner(now, a.Epoch)
+	}
+	if a.Abandoned {
+		c.machine.Abandoned(now, a.Epoch)
+	}
+	if a.Servers != nil {
+		c.takeServers(a.Servers)
+	}
+	if a.Config != nil {
+		c.takeConfig(a.Config)
+	}
+	if a.Map != nil {
+		c.takeMap(a.Map)
+	}
+}
+
+// Sync implements hostlink.Handler.
+func (c *Cluster) Sync(ctx context.Context, q *hostlink.Question) (*hostlink.Answer, error) {
+	deadline := time.Now().Add(time.Duration(q.Wait) * time.Millisecond)
+	for {
+		view := c.View()
+		a, err := c.answer(ctx, q)
+		if err != nil {
+			return nil, err
+		}
+		left := time.Until(deadline)
+		if a.news() || !a.leads() || left <= 0 {
+			return a.Answer, nil
+		}
+		q.Report = assigner.Report{}
+		waitFor(ctx, view.Next, left)
+	}
+}
+
+// reply is an answer with what decides whether it waits.
+type reply struct{ *hostlink.Answer }
+
+func (r reply) news() bool  { return r.Map != nil || r.Servers != nil || r.Config != nil || r.Abandoned }
+func (r reply) leads() bool { return r.Leads }
+
+func waitFor(ctx context.Context, news <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-news:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Cluster) answer(ctx context.Context, q *hostlink.Question) (reply, error) {
+	got := make(chan *hostlink.Answer, 1)
+	c.post(func() { got <- c.answerNow(q) })
+	select {
+	case a := <-got:
+		return reply{a}, nil
+	case <-ctx.Done():
+		return reply{}, ctx.Err()
+	case <-c.ctx.Done():
+		return reply{}, c.ctx.Err()
+	}
+}
+
+func (c *Cluster) answerNow(q *hostlink.Question) *hostlink.Answer {
+	now := c.cfg.Clock()
+	a := &hostlink.Answer{Epoch: c.machine.Epoch(), Assigner: c.machine.Assigner(), Leads: c.machine.Leads(now)}
+	a.Abandoned = c.stopping || c.troubled != 0 && now-c.troubled > abandonAfter
+	if a.Leads {
+		c.machine.AddReport(now, q.Report)
+	}
+	v := c.View()
+	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
+		a.Map = v.Owners
+	}
+	if v.Servers.Changed > q.Servers {
+		a.Servers = v.Servers
+	}
+	if v.Routes != nil && v.Routes.Version > q.Config {
+		a.Config = c.rawConfig
+	}
+	return a
+}
--- /dev/null
+++ b/cluster/view.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"sync/atomic"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+	"github.com/lacewingsaddle/lacewingsaddle/routetable"
+)
+
+// View is what traffic is routed by. It is immutable.
+type View struct {
+	Routes  *routetable.Table // nil until a configuration is known
+	Servers *directory.Snapshot
+	Owners  *keyrange.Map // nil until an assignment is known
+	Hosts   int           // entry hosts that share limits and budgets, this one included
+	// Next is closed when a newer view is published.
+	Next chan struct{}
+}
+
+// views holds the newest view.
+type views struct{ current atomic.Pointer[View] }
+
+func newViews() *views {
+	v := &views{}
+	v.current.Store(&View{Servers: &directory.Snapshot{}, Hosts: 1, Next: make(chan struct{})})
+	return v
+}
+
+// change publishes a copy of the view that edit has changed. Only the control
+// goroutine calls it.
+func (v *views) change(edit func(*View)) {
+	old := v.current.Load()
+	next := *old
+	next.Next = make(chan struct{})
+	edit(&next)
+	v.current.Store(&next)
+	close(old.Next)
+}
--- /dev/null
+++ b/cluster/watch.go
@@ -0,0 +1,243 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+const (
+	// configWait is the length of a long poll for a configuration. With
+	// pollSlack it stays below the time in which a silent connection must show.
+	configWait = 2 * time.Second
+	hostsWait  = 8 * time.Second
+	pollSlack  = 700 * time.Millisecond
+	// serversEvery is the pause between reads of the backend servers' entries.
+	serversEvery = 350 * time.Millisecond
+	// serversAlone is how long the assigner may be silent before a host reads
+	// the entries itself.
+	serversAlone = 700 * time.Millisecond
+	readTimeout  = 900 * time.Millisecond
+	watchRetry   = 250 * time.Millisecond
+	// outageGap is the time of failing reads that counts as an outage.
+	outageGap = 600 * time.Millisecond
+	// returnGrace is how long after an outage lapsed entries may still come back.
+	returnGrace = 2300 * time.Millisecond
+)
+
+// watchConfig keeps the configuration current.
+func (c *Cluster) watchConfig() {
+	next, known := uint64(0), false
+	for c.ctx.Err() == nil {
+		var data []byte
+		var err error
+		if !known {
+			data, next, err = c.newestConfig()
+			known = err == nil
+		} else {
+			data, next, err = c.readConfig(next)
+			known = fault.KindOf(err) != fault.LogGap || err == nil
+		}
+		if err != nil {
+			c.noteStore("read the configuration", err)
+			c.sleep(watchRetry)
+			continue
+		}
+		if data != nil {
+			c.post(func() { c.takeConfig(data) })
+		}
+	}
+}
+
+func (c *Cluster) newestConfig() ([]byte, uint64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
+	defer cancel()
+	return c.store.NewestConfig(ctx)
+}
+
+func (c *Cluster) readConfig(next uint64) ([]byte, uint64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, configWait+pollSlack)
+	defer cancel()
+	data, after, err := c.store.ReadConfig(ctx, next, configWait)
+	if err != nil {
+		return nil, next, err
+	}
+	return data, after, nil
+}
+
+// watchHosts registers this host and learns of the others.
+func (c *Cluster) watchHosts() {
+	registered, known := false, false
+	var next uint64
+	for c.ctx.Err() == nil {
+		hosts, after, err := c.readHosts(&registered, known, next)
+		if err != nil {
+			c.noteStore("read the hosts", err)
+			known = known && fault.KindOf(err) != fault.LogGap
+			c.sleep(watchRetry)
+			continue
+		}
+		known, next = true, after
+		if len(hosts) > 0 {
+			c.post(func() { c.takeHosts(hosts) })
+		}
+	}
+}
+
+func (c *Cluster) readHosts(registered *bool, known bool, next uint64) ([]assigner.Host, uint64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, hostsWait+pollSlack)
+	defer cancel()
+	if !*registered {
+		if err := c.store.RegisterHost(ctx, c.cfg.Self); err != nil {
+			return nil, next, err
+		}
+		*registered = true
+	}
+	if !known {
+		return c.store.AllHosts(ctx)
+	}
+	return c.store.ReadHosts(ctx, next, hostsWait)
+}
+
+// serverWatch is the state of the watch of the backend servers.
+type serverWatch struct {
+	snapshot *directory.Snapshot
+	loaded   bool
+	failing  time.Duration // since when reads fail, 0 when they do not
+	grace    time.Duration // until when lapsed entries are kept
+	lapsed   map[string]bool
+}
+
+// watchServers reads the entries while this host leads or hears no assigner.
+func (c *Cluster) watchServers() {
+	w := &serverWatch{snapshot: &directory.Snapshot{}, lapsed: map[string]bool{}}
+	for c.ctx.Err() == nil {
+		if !c.mustReadServers() {
+			w.loaded = false
+			c.sleep(serversEvery)
+			continue
+		}
+		if err := c.readServers(w); err != nil {
+			c.noteStore("read the backend servers", err)
+		} else {
+			s := w.snapshot
+			c.post(func() { c.takeServers(s) })
+		}
+		c.sleep(serversEvery)
+	}
+}
+
+func (c *Cluster) mustReadServers() bool {
+	got := make(chan bool, 1)
+	c.post(func() {
+		now := c.cfg.Clock()
+		got <- c.machine.Leads(now) || c.machine.Silence(now) > serversAlone
+	})
+	select {
+	case yes := <-got:
+		return yes
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+func (c *Cluster) readServers(w *serverWatch) error {
+	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
+	defer cancel()
+	now := c.cfg.Clock()
+	changes, next, full, err := c.fetchServers(ctx, w)
+	if err != nil {
+		if w.failing == 0 {
+			w.failing = now
+		}
+		return err
+	}
+	if w.failing != 0 && now-w.failing > outageGap {
+		w.grace = now + returnGrace
+		c.logger.Info("cluster: store is back, lapsed entries are kept for a while")
+	}
+	w.failing = 0
+	if full {
+		w.snapshot = w.reload(c.View().Servers, changes, next, now)
+	} else {
+		w.snapshot = w.snapshot.Fold(w.holdBack(changes, now), next)
+	}
+	w.loaded = true
+	if now >= w.grace && len(w.lapsed) > 0 {
+		w.dropLapsed()
+	}
+	return nil
+}
+
+func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) ([]directory.Change, uint64, bool, error) {
+	if w.loaded {
+		changes, next, err := c.store.ReadServers(ctx, w.snapshot.Next)
+		if err == nil || fault.KindOf(err) != fault.LogGap {
+			return changes, next, false, err
+		}
+		c.logger.Warn("cluster: history of the backend servers is gone, loading all entries", zap.Error(err))
+	}
+	all, next, err := c.store.AllServers(ctx)
+	return all, next, true, err
+}
+
+// reload replaces the directory. During the grace time entries that are missing
+// are kept.
+func (w *serverWatch) reload(before *directory.Snapshot, all []directory.Change, next uint64, now time.Duration) *directory.Snapshot {
+	s := w.snapshot.Reload(all, next)
+	if now >= w.grace {
+		return s
+	}
+	for _, v := range before.Servers {
+		if s.Find(v.Holder.ID) == nil {
+			w.lapsed[v.Holder.ID] = true
+		}
+	}
+	return s.Keep(before)
+}
+
+// holdBack holds removals back during the grace time.
+func (w *serverWatch) holdBack(changes []directory.Change, now time.Duration) []directory.Change {
+	out := changes[:0]
+	for _, ch := range changes {
+		if ch.Server == nil && now < w.grace {
+			w.lapsed[ch.ID] = true
+			continue
+		}
+		delete(w.lapsed, ch.ID)
+		out = append(out, ch)
+	}
+	return out
+}
+
+func (w *serverWatch) dropLapsed() {
+	var gone []directory.Change
+	for id := range w.lapsed {
+		gone = append(gone, directory.Change{ID: id})
+	}
+	clear(w.lapsed)
+	w.snapshot = w.snapshot.Fold(gone, w.snapshot.Next)
+}
+
+func (c *Cluster) noteStore(what string, err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.stats.StoreFails.Add(1)
+	c.logger.Warn("cluster: store call failed", zap.String("call", what), zap.Error(err))
+}
+
+// sleep waits for d or until the cluster stops.
+func (c *Cluster) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -0,0 +1,117 @@
+// Command lacewingsaddle-edge runs one entry host on the users' platform. It
+// takes its settings from the file that the platform names.
+//
+// It exits with 0 after a planned stop (SIGTERM or SIGINT), with 2 when the
+// settings are invalid, and with 1 when the host could not run.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/edge"
+	"github.com/lacewingsaddle/lacewingsaddle/gateway"
+	"github.com/lacewingsaddle/lacewingsaddle/platform"
+)
+
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+	startTimeout    = 15 * time.Second
+	stopTimeout     = 30 * time.Second
+	// memoryShare is the part of the host's memory at which garbage is collected
+	// more often.
+	memoryShare = 0.6
+)
+
+type arguments struct {
+	Check bool `arg:"--check" help:"only check the settings"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	os.Exit(run(args))
+}
+
+func run(args arguments) int {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	if args.Check {
+		return 0
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(options(settings)),
+		fx.Provide(
+			newLogger,
+			func() cluster.Store { return platform.NewStore(settings.Store) },
+			func() cluster.Backends { return platform.NewBackends() },
+		),
+		edge.Module,
+	)
+	return serve(app, signals)
+}
+
+func options(s platform.Settings) edge.Options {
+	return edge.Options{
+		Host:      s.Host,
+		Traffic:   s.Traffic,
+		Readiness: s.Readiness,
+		Peer:      s.Peer,
+		Metrics:   s.Metrics,
+		StopGrace: s.StopGrace,
+		HoldMax:   s.HoldMax,
+		Gateway: gateway.Config{
+			Domain:  s.Domain,
+			Headers: platform.Headers(),
+			Budget:  gateway.BudgetRule{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		},
+	}
+}
+
+func newLogger() *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	enc.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(os.Stdout), zapcore.InfoLevel)
+	return zap.New(core)
+}
+
+// serve runs the app until a signal arrives and then stops it as planned.
+func serve(app *fx.App, signals <-chan os.Signal) int {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	<-signals
+	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -61,6 +61,7 @@
 	BadMessage       Kind = "bad-message"
 	LogUnavailable   Kind = "log-unavailable"
 	LogGap           Kind = "log-gap"
+	LogConflict      Kind = "log-conflict"
 	InDoubt          Kind = "in-doubt"
 	Superseded       Kind = "superseded"
 	PermissionDenied Kind = "permission-denied"
@@ -108,6 +109,7 @@
 	BadMessage:       {http.StatusBadRequest, NotRun, false, "The peer message is invalid."},
 	LogUnavailable:   {http.StatusServiceUnavailable, NotRun, true, "The log service is unavailable."},
 	LogGap:           {http.StatusServiceUnavailable, NotRun, true, "The log no longer holds the wanted records."},
+	LogConflict:      {http.StatusConflict, NotRun, true, "The log ends at another record than expected."},
 	InDoubt:          {http.StatusAccepted, Unknown, false, "It is not known whether the log took the change."},
 	Superseded:       {http.StatusConflict, NotRun, false, "A newer version exists."},
 	PermissionDenied: {http.StatusForbidden, NotRun, false, "The token does not permit this."},
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,126 @@
+// Package gateway carries a caller's request to the backend server that may run
+// it and the server's whole answer back.
+//
+// A request ends in one of three ways, and the answer says which: answered; not
+// run, and it never will; or unknown. Only a request that was not run, or that
+// may run more than once, is sent again, within the deadline and a budget that
+// all hosts share.
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// Control is what routing needs of the control state.
+type Control interface {
+	View() *cluster.View
+	AddLoad(service string, key keyrange.Key)
+	AddTime(server string, took time.Duration)
+	AddEnded(h keyrange.Holder)
+}
+
+// Config holds what a gateway needs to know of its host.
+type Config struct {
+	Domain  string
+	Headers Headers
+	Budget  BudgetRule
+}
+
+// Gateway is an http.Handler for callers' requests.
+type Gateway struct {
+	cfg     Config
+	control Control
+	logger  *zap.Logger
+	servers *servers
+	split   *splitter
+	Metrics *Metrics
+
+	mu      sync.Mutex // guards budgets
+	budgets map[string]*budget
+	started time.Time
+
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a gateway.
+func New(cfg Config, control Control, logger *zap.Logger) *Gateway {
+	return &Gateway{
+		cfg:     cfg,
+		control: control,
+		logger:  logger.Named("gateway"),
+		servers: newServers(),
+		split:   newSplitter(),
+		Metrics: newMetrics(),
+		budgets: map[string]*budget{},
+		started: time.Now(),
+	}
+}
+
+// Stop makes the gateway close callers' connections after their next answer.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Active returns the number of requests that are being handled.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// Ready reports whether requests can be routed.
+func (g *Gateway) Ready() bool {
+	v := g.control.View()
+	return !g.stopping.Load() && v.Routes != nil && len(v.Servers.Servers) > 0 && v.Owners != nil
+}
+
+// Sweep closes idle connections and forgets servers that have left.
+func (g *Gateway) Sweep() { g.servers.sweep(time.Now(), g.control.View().Servers) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	q, err := g.accept(r)
+	if err != nil {
+		g.refuse(w, q, err)
+		return
+	}
+	defer q.cancel()
+	a, err := g.dispatch(q)
+	if err != nil {
+		g.refuse(w, q, err)
+		return
+	}
+	g.answer(w, q, a)
+}
+
+func (g *Gateway) countRequest(service string) {
+	g.mu.Lock()
+	g.budget(service).request(time.Since(g.started))
+	g.mu.Unlock()
+}
+
+// secondTry takes a second try from the budget of a service.
+func (g *Gateway) secondTry(service string) bool {
+	hosts := g.control.View().Hosts
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).try(time.Since(g.started), hosts)
+}
+
+// budget returns the budget of a service. The caller holds mu.
+func (g *Gateway) budget(service string) *budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = newBudget(g.cfg.Budget)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func randomIndex(n int) int { return rand.IntN(n) }
--- /dev/null
+++ b/gateway/servers.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+	"github.com/lacewingsaddle/lacewingsaddle/upstream"
+)
+
+const (
+	// typicalTime is a server's assumed answer time before it has answered.
+	typicalTime = 250 * time.Millisecond
+	// timeWeight is the weight of the newest answer time in the average.
+	timeWeight = 0.15
+	// failWeight is the weight of the newest outcome in the failure rate.
+	failWeight = 0.2
+	// minConnections is the least number of connections to one server.
+	minConnections = 3
+	// connectionShare is the part of a server's connections that hosts use for
+	// requests; the rest is left for grants and for hosts that start.
+	connectionShare = 0.85
+)
+
+// server is what this host knows of one backend server.
+type server struct {
+	directory.Server
+	conns *upstream.Server
+
+	mu          sync.Mutex
+	outstanding int
+	average     time.Duration // answer time
+	failures    float64       // share of recent requests that failed, 0 to 1
+	fullUntil   time.Time     // it has shed load until then
+	seen        time.Time     // of the last use or listing
+}
+
+// standing is a copy of what choices depend on.
+type standing struct {
+	outstanding int
+	average     time.Duration
+	failures    float64
+	full        bool
+}
+
+func (s *server) standing(now time.Time) standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return standing{s.outstanding, s.average, s.failures, now.Before(s.fullUntil)}
+}
+
+func (s *server) begin() {
+	s.mu.Lock()
+	s.outstanding++
+	s.mu.Unlock()
+}
+
+// end notes the outcome of a request that began.
+func (s *server) end(now time.Time, took time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outstanding--
+	s.seen = now
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	} else {
+		s.average += time.Duration(timeWeight * float64(took-s.average))
+	}
+	s.failures += failWeight * (outcome - s.failures)
+}
+
+// full notes that the server shed load.
+func (s *server) full(until time.Time) {
+	s.mu.Lock()
+	s.fullUntil = until
+	s.mu.Unlock()
+}
+
+// servers holds the known backend servers by their present life.
+type servers struct {
+	mu  sync.Mutex
+	all map[keyrange.Holder]*server
+}
+
+func newServers() *servers { return &servers{all: map[keyrange.Holder]*server{}} }
+
+// get returns the state of a listed server.
+func (s *servers) get(v *directory.Server, limit int) *server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.all[v.Holder]
+	if known == nil || known.Address != v.Address {
+		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit), average: typicalTime}
+		s.all[v.Holder] = known
+	}
+	known.conns.SetLimit(limit)
+	return known
+}
+
+// sweep closes connections that are idle for long and forgets servers that are
+// not listed any more.
+func (s *servers) sweep(now time.Time, listed *directory.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for h, v := range s.all {
+		v.conns.Trim(now)
+		if l := listed.Find(h.ID); l == nil || l.Holder != h {
+			v.conns.Close()
+			v.mu.Lock()
+			idle := v.outstanding == 0
+			v.mu.Unlock()
+			if idle {
+				delete(s.all, h)
+			}
+		}
+	}
+}
+
+// connectionLimit is this host's share of a server's connections.
+func connectionLimit(maxConns, hosts int) int {
+	if maxConns <= 0 {
+		return 64
+	}
+	return max(int(connectionShare*float64(maxConns))/max(hosts, 1), minConnections)
+}
--- /dev/null
+++ b/gateway/split.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/lacewingsaddle/lacewingsaddle/routetable"
+)
+
+// splitter deals a route's requests to its parts so that each has its weight's
+// share in any longer run of requests.
+type splitter struct {
+	mu     sync.Mutex
+	routes map[string]*dealt
+}
+
+// dealt is how many requests each part of a route is owed.
+type dealt struct {
+	parts  []routetable.Part
+	credit []float64
+}
+
+func newSplitter() *splitter { return &splitter{routes: map[string]*dealt{}} }
+
+// pick returns the service for the next request of a route.
+func (s *splitter) pick(r *routetable.Route) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.routes[r.Name]
+	if d == nil || !sameParts(d.parts, r.Parts) {
+		d = &dealt{parts: r.Parts, credit: make([]float64, len(r.Parts))}
+		s.routes[r.Name] = d
+	}
+	return r.Parts[d.next()].Service
+}
+
+// next gives each part its weight and takes the whole from the one with the most.
+func (d *dealt) next() int {
+	total, best := 0.0, 0
+	for i, p := range d.parts {
+		d.credit[i] += p.Weight
+		total += p.Weight
+		if d.credit[i] > d.credit[best] {
+			best = i
+		}
+	}
+	d.credit[best] -= total
+	return best
+}
+
+func sameParts(a, b []routetable.Part) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/keyrange/keyrange.go
@@ -0,0 +1,125 @@
+// Package keyrange holds the assignment of key ranges to backend servers: the
+// types that the assigner records, hosts exchange and the gateway reads.
+//
+// Keys are the numbers 0 to 65535. A table covers them with sorted ranges that
+// do not overlap; each range has one owner and one fencing token.
+package keyrange
+
+import "sort"
+
+// Key is the number by which a sharded service is divided.
+type Key uint16
+
+// MaxKey is the largest key.
+const MaxKey Key = 65535
+
+// KeyCount is the number of keys.
+const KeyCount = int(MaxKey) + 1
+
+// Fence is a fencing token. A key's token rises with each change of owner.
+type Fence uint64
+
+// Holder is one life of a backend server: a restart under the same id holds
+// nothing of before.
+type Holder struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"` // Unix milliseconds of its start
+}
+
+// Range is a span of keys with one owner.
+type Range struct {
+	From  Key    `json:"from"`
+	To    Key    `json:"to"` // inclusive
+	Owner Holder `json:"owner"`
+	Fence Fence  `json:"fence"`
+	// Prior lists the earlier holders that may still hold keys of the range
+	// under lower tokens.
+	Prior []Holder `json:"prior,omitempty"`
+	// Granted reports that the owner has accepted the grant. It is told among
+	// hosts and means nothing in a record of the store.
+	Granted bool `json:"granted,omitempty"`
+}
+
+// Contains reports whether k lies in r.
+func (r Range) Contains(k Key) bool { return r.From <= k && k <= r.To }
+
+// Width returns the number of keys in r.
+func (r Range) Width() int { return int(r.To) - int(r.From) + 1 }
+
+// SameGrant reports whether a and b name the same owner and token.
+func (r Range) SameGrant(b Range) bool { return r.Owner == b.Owner && r.Fence == b.Fence }
+
+// Table is the assignment of one service.
+type Table struct {
+	Service string  `json:"service"`
+	Ranges  []Range `json:"ranges"`
+}
+
+// Find returns the range of k, or nil when no range holds it.
+func (t *Table) Find(k Key) *Range {
+	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= k })
+	if i == len(t.Ranges) || !t.Ranges[i].Contains(k) {
+		return nil
+	}
+	return &t.Ranges[i]
+}
+
+// Version orders maps: a later epoch wins, then a later change within it.
+type Version struct {
+	Epoch  uint64 `json:"epoch"`
+	Change uint64 `json:"change"`
+}
+
+// Less reports whether v is older than w.
+func (v Version) Less(w Version) bool {
+	return v.Epoch < w.Epoch || v.Epoch == w.Epoch && v.Change < w.Change
+}
+
+// Map is the assignment of every sharded service.
+type Map struct {
+	Version Version `json:"version"`
+	Tables  []Table `json:"tables"`
+}
+
+// Table returns the table of a service, or nil.
+func (m *Map) Table(service string) *Table {
+	if m == nil {
+		return nil
+	}
+	for i := range m.Tables {
+		if m.Tables[i].Service == service {
+			return &m.Tables[i]
+		}
+	}
+	return nil
+}
+
+// Clone returns a deep copy of m.
+func (m *Map) Clone() *Map {
+	out := &Map{Version: m.Version, Tables: make([]Table, len(m.Tables))}
+	for i, t := range m.Tables {
+		out.Tables[i] = Table{Service: t.Service, Ranges: append([]Range(nil), t.Ranges...)}
+	}
+	return out
+}
+
+// KeepGranted marks the ranges of m that old knew as granted to the same owner
+// under the same token. A new assigner confirms grants one by one; until then
+// its map must not undo what a host knows.
+func (m *Map) KeepGranted(old *Map) {
+	if old == nil {
+		return
+	}
+	for i := range m.Tables {
+		before := old.Table(m.Tables[i].Service)
+		if before == nil {
+			continue
+		}
+		for j := range m.Tables[i].Ranges {
+			r := &m.Tables[i].Ranges[j]
+			if b := before.Find(r.From); b != nil && b.Granted && b.SameGrant(*r) {
+				r.Granted = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,340 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+const (
+	// maxStray bounds the answers to other requests that are passed over.
+	maxStray = 3
+	// maxBuffered bounds the part of an answer's body that is read before it is
+	// passed on, in bytes. A shorter answer is known to be whole.
+	maxBuffered = 1 << 20
+	// writeAside is the size from which a body is written beside the reading of
+	// the answer: a server may answer before it has read all.
+	writeAside = 8 << 10
+)
+
+// Field is one header line.
+type Field struct{ Name, Value string }
+
+// Request is a request as it goes to a backend server.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header // without the lines that concern one connection
+	Extra  []Field     // set by the router
+	// ID and IDHeader match the answer to the request.
+	ID       string
+	IDHeader string
+	Body     []byte
+	Rest     io.Reader // follows Body; nil when Body is the whole
+	Length   int64     // of Body and Rest; -1 means chunked
+	Once     bool      // may run at most once
+	Deadline time.Time
+}
+
+// Response is a backend server's answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Rest follows Body when the answer is longer than what is buffered. It
+	// must be closed.
+	Rest   io.ReadCloser
+	Length int64 // whole length, -1 when unknown
+}
+
+// Do sends req once and returns the answer. Errors of kind Refused, DialFailed,
+// Overloaded and NotSent mean that no byte was handed over; SendFailed, AnswerCut,
+// AnswerMismatch, Timeout and Canceled that the request may have run.
+func (s *Server) Do(ctx context.Context, req *Request) (*Response, error) {
+	now := time.Now()
+	c := s.take(now, req.Once)
+	if c == nil {
+		var err error
+		if c, err = s.dial(ctx); err != nil {
+			return nil, s.unsent(ctx, err)
+		}
+	}
+	x := &exchange{server: s, conn: c, req: req, ctx: ctx}
+	return x.run()
+}
+
+// unsent names the cause of a request that was not handed over.
+func (s *Server) unsent(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return fault.Wrap(fault.NotSent, ctx.Err(), "the request ended before it was sent")
+	}
+	return err
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	server *Server
+	conn   *conn
+	req    *Request
+	ctx    context.Context
+	stop   func() bool
+
+	written chan error // result of a write beside the reading; nil when written in line
+}
+
+func (x *exchange) run() (*Response, error) {
+	_ = x.conn.raw.SetDeadline(x.req.Deadline) // a closed connection shows at the write
+	x.stop = context.AfterFunc(x.ctx, func() { _ = x.conn.raw.SetDeadline(time.Unix(1, 0)) })
+	if err := x.write(); err != nil {
+		return nil, x.fail(err)
+	}
+	resp, err := x.read()
+	if err != nil {
+		return nil, x.fail(x.classify(err))
+	}
+	return resp, nil
+}
+
+// fail ends the exchange with an error: the connection cannot be used again.
+func (x *exchange) fail(err error) error {
+	x.stop()
+	x.server.discard(x.conn)
+	return err
+}
+
+func (x *exchange) classify(err error) error {
+	var known *fault.Error
+	switch {
+	case errors.As(err, &known):
+		return err
+	case errors.Is(context.Cause(x.ctx), context.DeadlineExceeded), !time.Now().Before(x.req.Deadline):
+		return fault.Wrap(fault.Timeout, err, "no answer in time")
+	case x.ctx.Err() != nil:
+		return fault.Wrap(fault.Canceled, err, "the caller left")
+	}
+	return fault.Wrap(fault.AnswerCut, err, "the connection ended without a whole answer")
+}
+
+// write sends the head and the body. A long body is sent beside the reading.
+func (x *exchange) write() error {
+	head := x.head()
+	if len(x.req.Body) < writeAside && x.req.Rest == nil {
+		n, err := x.conn.raw.Write(append(head, x.req.Body...))
+		return x.writeFault(n, err)
+	}
+	n, err := x.conn.raw.Write(head)
+	if err != nil {
+		return x.writeFault(n, err)
+	}
+	x.written = make(chan error, 1)
+	go func() { x.written <- x.writeBody() }()
+	return nil
+}
+
+func (x *exchange) writeFault(n int, err error) error {
+	if err == nil {
+		return nil
+	}
+	if n == 0 {
+		return fault.Wrap(fault.NotSent, err, "no byte was written")
+	}
+	return fault.Wrap(fault.SendFailed, err, "the request was written in part")
+}
+
+func (x *exchange) writeBody() error {
+	if x.req.Length >= 0 {
+		if _, err := x.conn.raw.Write(x.req.Body); err != nil {
+			return err
+		}
+		if x.req.Rest == nil {
+			return nil
+		}
+		n, err := io.Copy(x.conn.raw, x.req.Rest)
+		if err == nil && n != x.req.Length-int64(len(x.req.Body)) {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	return x.writeChunks(io.MultiReader(bytes.NewReader(x.req.Body), x.req.Rest))
+}
+
+func (x *exchange) writeChunks(from io.Reader) error {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			chunk := strconv.AppendInt(nil, int64(n), 16)
+			chunk = append(chunk, '\r', '\n')
+			chunk = append(chunk, buf[:n]...)
+			if _, werr := x.conn.raw.Write(append(chunk, '\r', '\n')); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			_, err = x.conn.raw.Write([]byte("0\r\n\r\n"))
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (x *exchange) head() []byte {
+	r := x.req
+	b := make([]byte, 0, 512+len(r.Body))
+	b = append(append(append(b, r.Method...), ' '), r.URI...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendLine(b, "Host", r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = appendLine(b, name, v)
+		}
+	}
+	for _, f := range r.Extra {
+		b = appendLine(b, f.Name, f.Value)
+	}
+	switch {
+	case r.Length < 0:
+		b = appendLine(b, "Transfer-Encoding", "chunked")
+	case r.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b = appendLine(b, "Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	return append(b, '\r', '\n')
+}
+
+func appendLine(b []byte, name, value string) []byte {
+	b = append(append(b, name...), ':', ' ')
+	return append(append(b, value...), '\r', '\n')
+}
+
+// read returns the answer that bears the request's id.
+func (x *exchange) read() (*Response, error) {
+	probe := &http.Request{Method: x.req.Method}
+	for stray := 0; ; {
+		resp, err := http.ReadResponse(x.conn.reader, probe)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // an interim answer
+		}
+		if x.matches(resp) {
+			return x.body(resp)
+		}
+		if stray++; stray > maxStray {
+			return nil, fault.New(fault.AnswerMismatch, "the connection carries answers to other requests")
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// matches reports whether an answer may belong to the request. An error
+// without an id may: the server may not have read the id.
+func (x *exchange) matches(resp *http.Response) bool {
+	id := resp.Header.Get(x.req.IDHeader)
+	if id == "" {
+		return resp.StatusCode >= http.StatusBadRequest
+	}
+	return id == x.req.ID
+}
+
+// body reads the answer's body and gives the connection back when all is read.
+func (x *exchange) body(resp *http.Response) (*Response, error) {
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	var err error
+	if n := resp.ContentLength; n >= 0 && n <= maxBuffered {
+		out.Body = make([]byte, n)
+		_, err = io.ReadFull(resp.Body, out.Body)
+	} else {
+		out.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(out.Body) < maxBuffered {
+		out.Length = int64(len(out.Body))
+		x.finish(resp)
+		return out, nil
+	}
+	out.Rest = &rest{exchange: x, resp: resp}
+	return out, nil
+}
+
+// finish ends the exchange after a whole answer.
+func (x *exchange) finish(resp *http.Response) {
+	x.stop()
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || !x.bodyWritten() || x.ctx.Err() != nil {
+		x.server.discard(x.conn)
+		return
+	}
+	c := x.conn
+	c.used, c.last = true, time.Now()
+	c.until = keepUntil(c.last, resp.Header.Get("Keep-Alive"))
+	_ = c.raw.SetDeadline(time.Time{}) // a closed connection shows at its next use
+	x.server.keep(c)
+}
+
+// bodyWritten reports whether the whole body was sent. A server that answered
+// earlier would take the next request's bytes for the rest of the body.
+func (x *exchange) bodyWritten() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// keepUntil reads the time for which a server promises to keep a connection.
+func keepUntil(now time.Time, header string) time.Time {
+	for part := range strings.SplitSeq(header, ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return now.Add(max(time.Duration(n)*time.Second-keepAliveMargin, 0))
+		}
+	}
+	return time.Time{}
+}
+
+// rest is the part of a long answer that is passed on as it arrives.
+type rest struct {
+	exchange *exchange
+	resp     *http.Response
+	whole    bool
+}
+
+// Read implements io.Reader.
+func (r *rest) Read(p []byte) (int, error) {
+	n, err := r.resp.Body.Read(p)
+	if err == io.EOF {
+		r.whole = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (r *rest) Close() error {
+	if r.whole {
+		r.exchange.finish(r.resp)
+		return nil
+	}
+	_ = r.exchange.fail(nil)
+	return nil
+}
--- /dev/null
+++ b/upstream/server.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+const (
+	dialTimeout = 600 * time.Millisecond
+	// idleLimit is how long an idle connection is kept.
+	idleLimit = 6 * time.Second
+	// keepAliveMargin is taken off the time that a server promises to keep an
+	// idle connection.
+	keepAliveMargin = 1 * time.Second
+	// freshEnough is how recently a connection must have answered to carry a
+	// request that may run only once.
+	freshEnough = 1500 * time.Millisecond
+)
+
+// Server holds the connections to one address.
+type Server struct {
+	Address string
+
+	mu    sync.Mutex
+	idle  []*conn // the most recently used last
+	open  int
+	limit int // connections that this host may open
+}
+
+// NewServer returns a server without connections.
+func NewServer(address string, limit int) *Server {
+	return &Server{Address: address, limit: max(limit, 1)}
+}
+
+// SetLimit sets the number of connections that this host may open.
+func (s *Server) SetLimit(n int) {
+	s.mu.Lock()
+	s.limit = max(n, 1)
+	s.mu.Unlock()
+}
+
+// Close closes the idle connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	idle := s.idle
+	s.idle = nil
+	s.open -= len(idle)
+	s.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// take returns an idle connection that can be used, or nil. Once asks for one
+// that has answered lately.
+func (s *Server) take(now time.Time, once bool) *conn {
+	for {
+		c := s.pop()
+		if c == nil {
+			return nil
+		}
+		age := now.Sub(c.last)
+		stale := age > idleLimit || !c.until.IsZero() && now.After(c.until) || once && age > freshEnough
+		if !stale && c.quiet() {
+			return c
+		}
+		s.discard(c)
+	}
+}
+
+func (s *Server) pop() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.idle)
+	if n == 0 {
+		return nil
+	}
+	c := s.idle[n-1]
+	s.idle = s.idle[:n-1]
+	return c
+}
+
+// dial opens a connection. Errors are of kind Refused, DialFailed, Overloaded,
+// Timeout or Canceled; the request was not handed over.
+func (s *Server) dial(ctx context.Context) (*conn, error) {
+	s.mu.Lock()
+	if s.open >= s.limit {
+		s.mu.Unlock()
+		return nil, fault.New(fault.Overloaded, "this host's share of connections is used up")
+	}
+	s.open++
+	s.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", s.Address)
+	if err == nil {
+		return newConn(raw, time.Now()), nil
+	}
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fault.Wrap(fault.Refused, err, "no process listens at the address")
+	}
+	return nil, fault.Wrap(fault.DialFailed, err, "open a connection")
+}
+
+func (s *Server) discard(c *conn) {
+	c.close()
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+}
+
+// keep returns c to the idle connections, or closes it.
+func (s *Server) keep(c *conn) {
+	if c.reader.Buffered() > 0 {
+		s.discard(c)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = append(s.idle, c)
+}
+
+// Trim closes connections that have been idle too long.
+func (s *Server) Trim(now time.Time) {
+	s.mu.Lock()
+	var old []*conn
+	for len(s.idle) > 0 && now.Sub(s.idle[0].last) > idleLimit {
+		old = append(old, s.idle[0])
+		s.idle = s.idle[1:]
+	}
+	s.open -= len(old)
+	s.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
