gateway: room at servers; edge: planned stop keeps its listener open; seeds are asked while the store is away

The listener now stays open until nothing is handled. Ruled out: a request that was being handled. Room: a host keeps only as many requests at a server as are answered in time.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -163,6 +163,14 @@
 	}
 }
 
+// LearnAssigner tells whom another host follows. It serves to find the assigner
+// while the store does not answer; claims always read the store first.
+func (m *Machine) LearnAssigner(epoch uint64, h Host) {
+	if m.role == follower && epoch > m.known.Epoch && h.Name != "" {
+		m.known = Record{Epoch: epoch, Assigner: h}
+	}
+}
+
 // Abandoned tells that the assigner has resigned or has lost the store: the
 // next one need not wait.
 func (m *Machine) Abandoned(now Time, epoch uint64) {
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -49,6 +49,7 @@
 type Config struct {
 	Self    assigner.Host
 	HoldMax time.Duration // longest grant that backend servers accept
+	Seeds   []string      // peer addresses to ask while no assigner is known
 	Clock   Clock
 }
 
@@ -77,6 +78,7 @@
 	mu     sync.Mutex // guards report
 	report assigner.Report
 	link   hostlink.Client
+	asked  int           // number of seeds that were asked
 	relink chan struct{} // wakes the follower
 }
 
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -15,6 +15,8 @@
 	// followPause is the pause after a question that failed or met a host that
 	// does not lead.
 	followPause = 100 * time.Millisecond
+	// seedsAfter is how long no assigner was heard before seeds are asked too.
+	seedsAfter = 700 * time.Millisecond
 	// maxReport bounds the entries of one report.
 	maxReport = 2000
 )
@@ -100,6 +102,9 @@
 		if q.to.Name == c.cfg.Self.Name {
 			q.to = assigner.Host{}
 		}
+		if c.machine.Silence(now) > seedsAfter {
+			q.to = c.nextSeed(q.to)
+		}
 		v := c.View()
 		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds())}
 		if v.Owners != nil {
@@ -118,6 +123,16 @@
 	}
 }
 
+// nextSeed returns in turn the assigner that is known and the seeds.
+func (c *Cluster) nextSeed(known assigner.Host) assigner.Host {
+	c.asked++
+	n := c.asked % (len(c.cfg.Seeds) + 1)
+	if n == len(c.cfg.Seeds) || c.cfg.Seeds[n] == c.cfg.Self.Peer {
+		return known
+	}
+	return assigner.Host{Name: "seed", Peer: c.cfg.Seeds[n]}
+}
+
 // ask asks once and reports whether the assigner answered.
 func (c *Cluster) ask(q question) bool {
 	ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
@@ -136,6 +151,7 @@
 	if a.Leads {
 		c.machine.HeardAssigner(now, a.Epoch)
 	}
+	c.machine.LearnAssigner(a.Epoch, a.Assigner)
 	if a.Abandoned {
 		c.machine.Abandoned(now, a.Epoch)
 	}
--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -80,6 +80,7 @@
 		Readiness: s.Readiness,
 		Peer:      s.Peer,
 		Metrics:   s.Metrics,
+		Seeds:     s.Seeds,
 		StopGrace: s.StopGrace,
 		HoldMax:   s.HoldMax,
 		Gateway: gateway.Config{
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,7 +34,12 @@
 	stopMargin = 400 * time.Millisecond
 	// leaveRotation is how long the balancer may still send new connections to a
 	// host that says it is not ready.
-	leaveRotation = 2500 * time.Millisecond
+	leaveRotation = 2300 * time.Millisecond
+	// refuseBefore is how long before the kill new requests are refused.
+	refuseBefore = 2 * time.Second
+	stopPoll     = 10 * time.Millisecond
+	// closeTime bounds the closing of idle connections.
+	closeTime = 100 * time.Millisecond
 	// defaultHeaderTime and defaultIdle hold while no configuration is known.
 	defaultHeaderTime = 3 * time.Second
 	defaultIdle       = 15 * time.Second
@@ -47,6 +52,7 @@
 	Readiness string
 	Peer      string
 	Metrics   string
+	Seeds     []string      // peer addresses to ask while the store does not answer
 	StopGrace time.Duration // from the stop signal to the kill
 	HoldMax   time.Duration // longest grant that backend servers accept
 	Gateway   gateway.Config
@@ -80,7 +86,7 @@
 	}
 	self := assigner.Host{Name: opts.Host, Incarnation: hex.EncodeToString(b), Peer: opts.Peer}
 	logger = logger.With(zap.String("host", opts.Host))
-	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax}, store, backends, logger)
+	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds}, store, backends, logger)
 	g := gateway.New(opts.Gateway, c, logger)
 	h := &Host{opts: opts, logger: logger.Named("edge"), cluster: c, gateway: g}
 	h.traffic = &http.Server{Handler: g, ErrorLog: zap.NewStdLog(logger.Named("http"))}
@@ -190,21 +196,37 @@
 }
 
 // Stop ends the host as planned: it leaves the balancer's rotation, hands the
-// epoch on, answers what callers have sent, and closes.
+// epoch on, answers what callers have sent, and closes. The listener stays open
+// to the end, so that no connection waits in its queue unanswered.
 func (h *Host) Stop(context.Context) error {
 	begin := time.Now()
 	h.logger.Info("edge: planned stop begins", zap.Int64("active", h.gateway.Active()))
 	h.gateway.Stop()
 	h.cluster.Resign()
 	time.Sleep(min(leaveRotation, h.opts.StopGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(h.opts.StopGrace-stopMargin))
+	h.finishRequests(begin)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	if err := h.traffic.Shutdown(ctx); err != nil {
-		h.logger.Warn("edge: requests were still running at the end of the grace time",
-			zap.Int64("active", h.gateway.Active()), zap.Error(err))
+		h.logger.Warn("edge: connections were still open at the end", zap.Int64("active", h.gateway.Active()), zap.Error(err))
 	}
-	h.cluster.Stop()
 	h.stop()
+	h.cluster.Stop()
 	h.logger.Info("edge: stopped", zap.Duration("took", time.Since(begin)))
 	return nil
 }
+
+// finishRequests waits until no request is being handled. Towards the end of
+// the grace time new ones are refused.
+func (h *Host) finishRequests(begin time.Time) {
+	for {
+		spent := time.Since(begin)
+		if h.gateway.Active() == 0 || spent > h.opts.StopGrace-stopMargin {
+			return
+		}
+		if spent > h.opts.StopGrace-refuseBefore {
+			h.gateway.Close()
+		}
+		time.Sleep(stopPoll)
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -18,6 +18,9 @@
 	// ownerWaitShare is the part of the latency target that a request waits for
 	// its key to have an owner.
 	ownerWaitShare = 0.45
+	// roomWaitShare is the part of the latency target that a request waits for
+	// room at its server.
+	roomWaitShare = 0.5
 	// afterStale is how long a request waits for news of its key's owner after a
 	// server said that it does not hold the key.
 	afterStale = 120 * time.Millisecond
@@ -41,7 +44,7 @@
 		if err != nil {
 			return nil, err
 		}
-		a, err := g.send(q, s)
+		a, err := g.enterAndSend(q, s)
 		if err == nil {
 			return a, nil
 		}
@@ -129,6 +132,19 @@
 	return g.server(v, q, view)
 }
 
+// enterAndSend waits for room at s and sends q.
+func (g *Gateway) enterAndSend(q *request, s *server) (*upstream.Response, error) {
+	wait := time.Duration(roomWaitShare*float64(q.target())) - time.Since(q.arrived)
+	if err := s.room.enter(q.ctx, q.route.Priority, wait); err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	a, err := g.send(q, s)
+	shed := fault.KindOf(err) == fault.NotAccepted
+	s.room.leave(time.Since(start), q.target(), err != nil && shed, err != nil)
+	return a, err
+}
+
 // send sends q once and classifies the answer.
 func (g *Gateway) send(q *request, s *server) (*upstream.Response, error) {
 	if q.rest != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	started time.Time
 
 	stopping atomic.Bool
+	closed   atomic.Bool // new requests are refused
 	active   atomic.Int64
 }
 
@@ -69,6 +70,9 @@
 // Stop makes the gateway close callers' connections after their next answer.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// Close makes the gateway refuse new requests; those that are being handled go on.
+func (g *Gateway) Close() { g.closed.Store(true) }
+
 // Active returns the number of requests that are being handled.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,6 +67,9 @@
 func (g *Gateway) accept(r *http.Request) (*request, error) {
 	q := &request{in: r, id: r.Header.Get(g.cfg.Headers.RequestID), arrived: time.Now()}
 	view := g.control.View()
+	if g.closed.Load() {
+		return q, fault.New(fault.NotReady, "this host is stopping")
+	}
 	if view.Routes == nil {
 		return q, fault.New(fault.NotReady, "no configuration is known yet")
 	}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -18,6 +18,9 @@
 	failWeight = 0.2
 	// minConnections is the least number of connections to one server.
 	minConnections = 3
+	// spareConnections may be opened beyond the room at a server, while old ones
+	// are being closed.
+	spareConnections = 2
 	// connectionShare is the part of a server's connections that hosts use for
 	// requests; the rest is left for grants and for hosts that start.
 	connectionShare = 0.85
@@ -27,6 +30,7 @@
 type server struct {
 	directory.Server
 	conns *upstream.Server
+	room  *room
 
 	mu          sync.Mutex
 	outstanding int
@@ -92,10 +96,11 @@
 	defer s.mu.Unlock()
 	known := s.all[v.Holder]
 	if known == nil || known.Address != v.Address {
-		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit), average: typicalTime}
+		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit), room: newRoom(limit), average: typicalTime}
 		s.all[v.Holder] = known
 	}
-	known.conns.SetLimit(limit)
+	known.conns.SetLimit(limit + spareConnections)
+	known.room.setMost(limit)
 	return known
 }
 
