--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -107,6 +107,8 @@
 	sharded  []string
 	firstSee map[string]Time
 	ended    map[keyrange.Holder]bool
+	suspects *suspects
+	askAgain bool
 	load     *loads
 	planned  Time
 	dirty    bool
@@ -124,6 +126,7 @@
 		servers:  &directory.Snapshot{},
 		firstSee: map[string]Time{},
 		ended:    map[keyrange.Holder]bool{},
+		suspects: newSuspects(),
 		load:     newLoads(),
 	}
 }
@@ -137,6 +140,9 @@
 
 func (m *Machine) do(a Action) { m.out = append(m.out, a) }
 
+// SetHosts sets the number of registered entry hosts.
+func (m *Machine) SetHosts(n int) { m.suspects.registered = n }
+
 // SetRank sets the host's place in the order of claims.
 func (m *Machine) SetRank(rank int) { m.rank = rank }
 
@@ -189,12 +195,45 @@
 	}
 }
 
-// AddReport takes a host's report of load.
-func (m *Machine) AddReport(now Time, r Report) {
+// AddReport takes a report of the host with a name.
+func (m *Machine) AddReport(now Time, from string, r Report) {
 	m.load.add(now, r)
-	for _, h := range r.Ended {
+	m.suspects.heard(now, from)
+	for _, h := range r.Reached {
+		m.suspects.reached(h)
+	}
+	for _, h := range r.Refused {
+		m.refused(now, from, h)
+	}
+}
+
+// refused notes that a host found no process at a server's address. The server
+// has ended once every host that is heard says so: a cut that resets
+// connections looks the same to the hosts on its one side.
+func (m *Machine) refused(now Time, from string, h keyrange.Holder) {
+	if h.ID == "" || m.ended[h] {
+		return
+	}
+	if m.suspects.refused(now, from, h) {
 		m.markEnded(h)
+		return
+	}
+	m.askAgain = true
+}
+
+// askHosts asks every host about the suspects.
+func (m *Machine) askHosts(now Time) {
+	if !m.askAgain {
+		return
+	}
+	m.askAgain = false
+	var list []Suspect
+	for _, h := range m.suspects.open(now) {
+		if addr := m.address(h); addr != "" {
+			list = append(list, Suspect{Holder: h, Address: addr})
+		}
 	}
+	m.do(Ask{Suspects: list})
 }
 
 func (m *Machine) markEnded(h keyrange.Holder) {
@@ -337,6 +376,7 @@
 	m.taken = now
 	m.ranges = nil
 	m.load.reset(now)
+	m.suspects.reset()
 	m.change = m.known.Change
 	// An earlier assigner may have renewed any holder until its lease ended.
 	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax)
@@ -381,6 +421,7 @@
 	if !m.mayAct(now) {
 		return
 	}
+	m.askHosts(now)
 	if !m.storeBusy && now >= m.storeRetry && now-m.planned >= planEvery {
 		m.planned = now
 		m.plan(now)
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -110,8 +110,10 @@
 type Report struct {
 	Keys  []KeyLoad    `json:"keys,omitempty"`
 	Times []ServerTime `json:"times,omitempty"`
-	// Ended lists servers that refused a connection.
-	Ended []keyrange.Holder `json:"ended,omitempty"`
+	// Refused lists servers at whose address no process listened, Reached those
+	// at which one did or nothing could be told.
+	Refused []keyrange.Holder `json:"refused,omitempty"`
+	Reached []keyrange.Holder `json:"reached,omitempty"`
 }
 
 // Action is something that the machine wants done.
@@ -146,6 +148,15 @@
 	Holder  keyrange.Holder
 }
 
+// Suspect is a server that refused a connection.
+type Suspect struct {
+	Holder  keyrange.Holder `json:"holder"`
+	Address string          `json:"address"`
+}
+
+// Ask asks every host whether a process listens at the suspects' addresses.
+type Ask struct{ Suspects []Suspect }
+
 // Publish tells every host the map.
 type Publish struct{ Map *keyrange.Map }
 
@@ -155,6 +166,7 @@
 func (Grant) action()   {}
 func (Release) action() {}
 func (Publish) action() {}
+func (Ask) action()     {}
 
 // Servers is the view of the backend servers that the machine plans with.
 type Servers struct {
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -93,10 +93,20 @@
 	}
 }
 
-// replaced reports whether the directory shows a later life of h.
+// replaced reports whether the directory shows a later life of h, or a later
+// process at its address.
 func (m *Machine) replaced(h keyrange.Holder) bool {
-	v := m.servers.Find(h.ID)
-	return v != nil && v.Holder.Born > h.Born
+	if v := m.servers.Find(h.ID); v != nil {
+		return v.Holder.Born > h.Born
+	}
+	addr := m.load.address(h)
+	for i := range m.servers.Servers {
+		v := &m.servers.Servers[i]
+		if addr != "" && v.Address == addr && v.Holder.Born > h.Born {
+			return true
+		}
+	}
+	return false
 }
 
 // StepGranted takes the answer to a Grant.
@@ -116,7 +126,8 @@
 				m.dirty = true
 			}
 		case CallRefused:
-			m.markEnded(r.Owner)
+			r.nextGrant = now + retryCall
+			m.refused(now, m.cfg.Self.Name, r.Owner)
 		case CallFenced:
 			if r.From == e.Range.From && r.To == e.Range.To {
 				m.fenced(now, r)
@@ -140,7 +151,7 @@
 // StepReleased takes the answer to a Release.
 func (m *Machine) StepReleased(now Time, e Released) {
 	if e.Result == CallRefused {
-		m.markEnded(e.Holder)
+		m.refused(now, m.cfg.Self.Name, e.Holder)
 	}
 	for _, r := range m.ranges {
 		if !r.is(e.Service, e.Range) {
--- /dev/null
+++ b/cluster/calls.go
@@ -0,0 +1,156 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+)
+
+const (
+	// relays is the number of other hosts that are asked to make a call.
+	relays       = 2
+	relayTimeout = 600 * time.Millisecond
+	// askedBits is the number of bits that count the questions of one epoch.
+	askedBits = 20
+	// tryTimeout bounds the connection that tells whether a process listens.
+	tryTimeout = 300 * time.Millisecond
+)
+
+// grant gives or renews a range. A server that this host cannot reach is called
+// by another host.
+func (c *Cluster) grant(ctx context.Context, a assigner.Grant) {
+	c.stats.Grants.Add(1)
+	result, err := c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+	if result == assigner.CallFailed || result == assigner.CallRefused {
+		call := hostlink.Call{Address: a.Address, Range: a.Range, HoldMS: a.Hold.Milliseconds(), Handover: a.Handover}
+		if answer, ok := c.relay(call, relayTimeout); ok {
+			result = answer.Result
+		}
+	}
+	if result != assigner.CallOK {
+		c.stats.GrantFails.Add(1)
+		c.logger.Warn("cluster: grant failed", zap.String("server", a.Range.Owner.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
+			zap.Uint16("from", uint16(a.Range.From)), zap.Uint8("result", uint8(result)), zap.Error(err))
+	}
+	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
+	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
+}
+
+// release takes a range back. A server that this host cannot reach is called by
+// another host.
+func (c *Cluster) release(ctx context.Context, a assigner.Release) {
+	c.stats.Releases.Add(1)
+	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
+	if result == assigner.CallFailed || result == assigner.CallRefused {
+		if answer, ok := c.relay(hostlink.Call{Address: a.Address, Range: a.Range, Release: true}, releaseTimeout); ok {
+			result, handover = answer.Result, answer.Handover
+		}
+	}
+	c.logger.Info("cluster: keys released", zap.String("server", a.Holder.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
+		zap.Uint16("from", uint16(a.Range.From)), zap.Uint16("to", uint16(a.Range.To)), zap.Uint8("result", uint8(result)), zap.Error(err))
+	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
+	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
+}
+
+// relay asks other hosts to make a call, one after the other. It reports whether
+// one of them had an answer from the server.
+func (c *Cluster) relay(call hostlink.Call, limit time.Duration) (*hostlink.CallAnswer, bool) {
+	for _, h := range c.someHosts(relays) {
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		answer, err := c.relayTo(ctx, h, call)
+		cancel()
+		if err != nil {
+			c.logger.Debug("cluster: relay failed", zap.String("through", h.Name), zap.Error(err))
+			continue
+		}
+		if answer.Result == assigner.CallOK || answer.Result == assigner.CallFenced {
+			return answer, true
+		}
+	}
+	return nil, false
+}
+
+func (c *Cluster) relayTo(ctx context.Context, h assigner.Host, call hostlink.Call) (*hostlink.CallAnswer, error) {
+	var link hostlink.Client
+	defer link.Close()
+	return link.Relay(ctx, h.Peer, &call)
+}
+
+// someHosts returns other hosts in random order.
+func (c *Cluster) someHosts(n int) []assigner.Host {
+	got := make(chan []assigner.Host, 1)
+	c.post(func() {
+		var out []assigner.Host
+		for _, h := range c.hosts {
+			if h.Name != c.cfg.Self.Name {
+				out = append(out, h)
+			}
+		}
+		got <- out
+	})
+	select {
+	case out := <-got:
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		return out[:min(n, len(out))]
+	case <-c.ctx.Done():
+		return nil
+	}
+}
+
+// Relay implements hostlink.Handler.
+func (c *Cluster) Relay(ctx context.Context, call *hostlink.Call) (*hostlink.CallAnswer, error) {
+	out := &hostlink.CallAnswer{}
+	var err error
+	if call.Release {
+		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
+	} else {
+		hold := time.Duration(call.HoldMS) * time.Millisecond
+		out.Result, err = c.backends.Grant(ctx, call.Address, call.Range, hold, call.Handover)
+	}
+	if err != nil {
+		c.logger.Debug("cluster: relayed call failed", zap.String("address", call.Address), zap.Error(err))
+	}
+	return out, nil
+}
+
+// askHosts tells every host to try the suspects, this one included.
+func (c *Cluster) askHosts(list []assigner.Suspect) {
+	c.views.change(func(v *View) {
+		v.Suspects = list
+		v.Asked = max(v.Asked+1, c.machine.Epoch()<<askedBits)
+	})
+	c.trySuspects(list)
+}
+
+// trySuspects connects to each suspect and reports what it found.
+func (c *Cluster) trySuspects(list []assigner.Suspect) {
+	for _, s := range list {
+		c.call(tryTimeout, func(ctx context.Context) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", s.Address)
+			if err == nil {
+				_ = conn.Close() // it was opened only to see whether a process listens
+			}
+			c.noteTried(s, err)
+		})
+	}
+}
+
+func (c *Cluster) noteTried(s assigner.Suspect, err error) {
+	c.mu.Lock()
+	if fault.IsRefused(err) {
+		c.report.Refused = append(c.report.Refused, s.Holder)
+	} else {
+		c.report.Reached = append(c.report.Reached, s.Holder)
+	}
+	c.mu.Unlock()
+	c.logger.Info("cluster: suspect tried", zap.String("server", s.Holder.ID), zap.Error(err))
+	c.reportNow()
+}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -75,11 +75,13 @@
 	stopping  bool
 	ledBefore bool
 
-	mu     sync.Mutex // guards report
-	report assigner.Report
-	link   hostlink.Client
-	asked  int           // number of seeds that were asked
-	relink chan struct{} // wakes the follower
+	mu         sync.Mutex // guards report
+	report     assigner.Report
+	link       hostlink.Client
+	urgent     chan struct{} // wakes the sender of urgent reports
+	urgentLink hostlink.Client
+	asked      int           // number of seeds that were asked
+	relink     chan struct{} // wakes the follower
 }
 
 // Stats counts what the control loop did.
@@ -107,6 +109,7 @@
 		events:   make(chan func(), eventQueue),
 		hosts:    map[string]assigner.Host{cfg.Self.Name: cfg.Self},
 		relink:   make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
 	}
 	c.machine = assigner.New(assigner.Config{
 		Self:               cfg.Self,
@@ -131,7 +134,7 @@
 // Start begins to watch and to take part.
 func (c *Cluster) Start() {
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	for _, f := range []func(){c.run, c.watchConfig, c.watchServers, c.watchHosts, c.follow} {
+	for _, f := range []func(){c.run, c.watchConfig, c.watchServers, c.watchHosts, c.follow, c.sendUrgent} {
 		c.wait.Add(1)
 		go func() {
 			defer c.wait.Done()
@@ -229,6 +232,8 @@
 			c.call(releaseTimeout, func(ctx context.Context) { c.release(ctx, a) })
 		case assigner.Publish:
 			c.takeMap(a.Map)
+		case assigner.Ask:
+			c.askHosts(a.Suspects)
 		}
 	}
 }
@@ -303,27 +308,6 @@
 	return assigner.StoreFailed
 }
 
-func (c *Cluster) grant(ctx context.Context, a assigner.Grant) {
-	c.stats.Grants.Add(1)
-	result, err := c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
-	if result != assigner.CallOK {
-		c.stats.GrantFails.Add(1)
-		c.logger.Warn("cluster: grant failed", zap.String("server", a.Range.Owner.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
-			zap.Uint16("from", uint16(a.Range.From)), zap.Uint8("result", uint8(result)), zap.Error(err))
-	}
-	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
-	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
-}
-
-func (c *Cluster) release(ctx context.Context, a assigner.Release) {
-	c.stats.Releases.Add(1)
-	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
-	c.logger.Info("cluster: keys released", zap.String("server", a.Holder.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
-		zap.Uint16("from", uint16(a.Range.From)), zap.Uint16("to", uint16(a.Range.To)), zap.Uint8("result", uint8(result)), zap.Error(err))
-	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
-	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
-}
-
 // takeMap publishes a newer map. An older one is dropped: the view never goes back.
 func (c *Cluster) takeMap(m *keyrange.Map) {
 	old := c.View().Owners
@@ -383,6 +367,7 @@
 	}
 	c.hosts[c.cfg.Self.Name] = c.cfg.Self
 	c.machine.SetRank(c.rank())
+	c.machine.SetHosts(len(c.hosts))
 	n := len(c.hosts)
 	if c.View().Hosts != n {
 		c.views.change(func(v *View) { v.Hosts = n })
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -39,12 +39,37 @@
 	}
 }
 
-// AddEnded notes that a server refused a connection: its process has ended.
-func (c *Cluster) AddEnded(h keyrange.Holder) {
+// AddRefused notes that a server refused a connection: its process may have ended.
+func (c *Cluster) AddRefused(h keyrange.Holder) {
 	c.mu.Lock()
-	c.report.Ended = append(c.report.Ended, h)
+	c.report.Refused = append(c.report.Refused, h)
 	c.mu.Unlock()
-	c.wakeFollower()
+	c.reportNow()
+}
+
+// reportNow sends what is to be reported without waiting for the question that
+// is outstanding.
+func (c *Cluster) reportNow() {
+	select {
+	case c.urgent <- struct{}{}:
+	default: // a report is about to be sent
+	}
+}
+
+// sendUrgent sends reports that cannot wait.
+func (c *Cluster) sendUrgent() {
+	for {
+		select {
+		case <-c.urgent:
+		case <-c.ctx.Done():
+			return
+		}
+		q := c.nextQuestion()
+		q.body.Wait = 0
+		if q.to.Peer != "" && !c.ask(&c.urgentLink, q) {
+			c.sleep(followPause)
+		}
+	}
 }
 
 func (c *Cluster) takeReport() assigner.Report {
@@ -71,7 +96,7 @@
 			c.pause(followPause)
 			continue
 		}
-		if !c.ask(q) {
+		if !c.ask(&c.link, q) {
 			c.pause(followPause)
 		}
 	}
@@ -94,7 +119,7 @@
 	c.post(func() {
 		now := c.cfg.Clock()
 		if c.machine.Leads(now) {
-			c.machine.AddReport(now, report)
+			c.machine.AddReport(now, c.cfg.Self.Name, report)
 			got <- question{}
 			return
 		}
@@ -106,7 +131,7 @@
 			q.to = c.nextSeed(q.to)
 		}
 		v := c.View()
-		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds())}
+		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds()), Asked: v.Asked}
 		if v.Owners != nil {
 			q.body.Map = v.Owners.Version
 		}
@@ -134,10 +159,10 @@
 }
 
 // ask asks once and reports whether the assigner answered.
-func (c *Cluster) ask(q question) bool {
+func (c *Cluster) ask(link *hostlink.Client, q question) bool {
 	ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
 	defer cancel()
-	a, err := c.link.Sync(ctx, q.to.Peer, &q.body)
+	a, err := link.Sync(ctx, q.to.Peer, &q.body)
 	if err != nil {
 		c.logger.Debug("cluster: assigner did not answer", zap.String("assigner", q.to.Name), zap.Error(err))
 		return false
@@ -164,6 +189,10 @@
 	if a.Map != nil {
 		c.takeMap(a.Map)
 	}
+	if a.Asked > c.View().Asked && a.Leads {
+		c.views.change(func(v *View) { v.Asked = a.Asked })
+		c.trySuspects(a.Suspects)
+	}
 }
 
 // Sync implements hostlink.Handler.
@@ -187,7 +216,9 @@
 // reply is an answer with what decides whether it waits.
 type reply struct{ *hostlink.Answer }
 
-func (r reply) news() bool  { return r.Map != nil || r.Servers != nil || r.Config != nil || r.Abandoned }
+func (r reply) news() bool {
+	return r.Map != nil || r.Servers != nil || r.Config != nil || r.Abandoned || r.Asked != 0
+}
 func (r reply) leads() bool { return r.Leads }
 
 func waitFor(ctx context.Context, news <-chan struct{}, d time.Duration) {
@@ -218,7 +249,7 @@
 	a := &hostlink.Answer{Epoch: c.machine.Epoch(), Assigner: c.machine.Assigner(), Leads: c.machine.Leads(now)}
 	a.Abandoned = c.stopping || c.troubled != 0 && now-c.troubled > abandonAfter
 	if a.Leads {
-		c.machine.AddReport(now, q.Report)
+		c.machine.AddReport(now, q.From.Name, q.Report)
 	}
 	v := c.View()
 	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
@@ -230,5 +261,8 @@
 	if v.Routes != nil && v.Routes.Version > q.Config {
 		a.Config = c.rawConfig
 	}
+	if a.Leads && v.Asked > q.Asked {
+		a.Asked, a.Suspects = v.Asked, v.Suspects
+	}
 	return a
 }
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/routetable"
@@ -14,6 +15,10 @@
 	Servers *directory.Snapshot
 	Owners  *keyrange.Map // nil until an assignment is known
 	Hosts   int           // entry hosts that share limits and budgets, this one included
+	// Suspects are the servers that the assigner wants every host to try, as of
+	// the number Asked.
+	Suspects []assigner.Suspect
+	Asked    uint64
 	// Next is closed when a newer view is published.
 	Next chan struct{}
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,3 +182,6 @@
 	}
 	return kinds
 }
+
+// IsRefused reports whether err means that no process listens at an address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -253,7 +253,7 @@
 	}
 	switch fault.KindOf(err) {
 	case fault.Refused:
-		g.control.AddEnded(s.Holder)
+		g.control.AddRefused(s.Holder)
 		return q.keyed && g.waitForNews(q, s, q.target()/2) || !q.keyed
 	case fault.DialFailed, fault.Overloaded, fault.NotSent:
 		return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 	View() *cluster.View
 	AddLoad(service string, key keyrange.Key)
 	AddTime(server string, took time.Duration)
-	AddEnded(h keyrange.Holder)
+	AddRefused(h keyrange.Holder)
 }
 
 // Config holds what a gateway needs to know of its host.
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -21,8 +21,11 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
-// syncMethod is the name of the one method.
-const syncMethod = "/lacewingsaddle.hostlink.Hosts/Sync"
+// Names of the methods.
+const (
+	syncMethod  = "/lacewingsaddle.hostlink.Hosts/Sync"
+	relayMethod = "/lacewingsaddle.hostlink.Hosts/Relay"
+)
 
 // dialTimeout bounds opening a connection to another host.
 const dialTimeout = 400 * time.Millisecond
@@ -35,6 +38,7 @@
 	Servers uint64           `json:"servers"` // Snapshot.Changed of the known directory
 	Config  uint64           `json:"config"`  // version of the known configuration
 	Report  assigner.Report  `json:"report"`
+	Asked   uint64           `json:"asked"` // number of the last question about suspects
 	// Wait is how long the answer may wait for news, in milliseconds.
 	Wait int `json:"wait"`
 }
@@ -49,11 +53,30 @@
 	Map       *keyrange.Map       `json:"map,omitempty"`
 	Servers   *directory.Snapshot `json:"servers,omitempty"`
 	Config    []byte              `json:"config,omitempty"` // as the store keeps it
+	Suspects  []assigner.Suspect  `json:"suspects,omitempty"`
+	Asked     uint64              `json:"asked,omitempty"`
+}
+
+// Call is a grant or a release that another host makes, because the assigner
+// cannot reach the server.
+type Call struct {
+	Address  string         `json:"address"`
+	Range    keyrange.Range `json:"range"`
+	Release  bool           `json:"release"`
+	HoldMS   int64          `json:"hold_ms,omitempty"`
+	Handover string         `json:"handover,omitempty"`
+}
+
+// CallAnswer is how it ended.
+type CallAnswer struct {
+	Result   assigner.CallResult `json:"result"`
+	Handover string              `json:"handover,omitempty"`
 }
 
 // Handler answers questions.
 type Handler interface {
 	Sync(ctx context.Context, q *Question) (*Answer, error)
+	Relay(ctx context.Context, c *Call) (*CallAnswer, error)
 }
 
 // codec writes messages as JSON.
@@ -69,17 +92,23 @@
 type description struct{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 1 }
+func (description) NumMethods() int { return 2 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
-		return "", nil, nil, nil, false
-	}
-	receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
-		return srv.(Handler).Sync(ctx, in1.(*Question))
+	switch n {
+	case 0:
+		receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+			return srv.(Handler).Sync(ctx, in1.(*Question))
+		}
+		return syncMethod, codec{}, receive, Handler.Sync, true
+	case 1:
+		receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+			return srv.(Handler).Relay(ctx, in1.(*Call))
+		}
+		return relayMethod, codec{}, receive, Handler.Relay, true
 	}
-	return syncMethod, codec{}, receive, Handler.Sync, true
+	return "", nil, nil, nil, false
 }
 
 // Serve answers questions on a listener until ctx ends.
@@ -112,6 +141,30 @@
 	return out, nil
 }
 
+// Relay asks the host at addr to call a backend server.
+func (c *Client) Relay(ctx context.Context, addr string, call *Call) (*CallAnswer, error) {
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		return nil, fault.Wrap(fault.PeerUnavailable, err, "connect to an entry host")
+	}
+	out := &CallAnswer{}
+	if err := conn.Invoke(ctx, relayMethod, codec{}, call, out); err != nil {
+		c.drop(conn)
+		return nil, fault.Wrap(fault.PeerUnavailable, err, "ask an entry host to call a backend server")
+	}
+	return out, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close() // no call is outstanding
+		c.conn = nil
+	}
+}
+
 func (c *Client) connect(ctx context.Context, addr string) (*drpcconn.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
@@ -104,7 +102,7 @@
 	s.mu.Lock()
 	s.open--
 	s.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if fault.IsRefused(err) {
 		return nil, fault.Wrap(fault.Refused, err, "no process listens at the address")
 	}
 	return nil, fault.Wrap(fault.DialFailed, err, "open a connection")
