assigner: an unreachable server is proof of nothing; holds of 2.2 s

Ruled out: agreement of all hosts as proof (all eight found no process). Now only a hold's end, an answered release, or a later process at the id or the address counts. Holds are 2.2 s, renewed every 0.7 s, counted from the answer; a successor claims after 0.6 s of silence, before they lapse.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -51,8 +51,10 @@
 const (
 	// clockDrift bounds how slow a backend server's clock may run.
 	clockDrift = 0.02
-	// callDelay bounds the way of a grant to a server on a sound link.
-	callDelay = 300 * time.Millisecond
+	// holdMargin covers the rounding of times on the way.
+	holdMargin = 30 * time.Millisecond
+	// unansweredDelay bounds the way of a grant that was not answered.
+	unansweredDelay = 300 * time.Millisecond
 	// retryCall is the pause before a failed grant or release is sent again.
 	retryCall = 300 * time.Millisecond
 	// retryStore is the pause before a failed call to the store is made again.
@@ -106,7 +108,6 @@
 	servers  *directory.Snapshot
 	sharded  []string
 	firstSee map[string]Time
-	ended    map[keyrange.Holder]bool
 	suspects *suspects
 	askAgain bool
 	load     *loads
@@ -125,7 +126,6 @@
 		heardAt:  now,
 		servers:  &directory.Snapshot{},
 		firstSee: map[string]Time{},
-		ended:    map[keyrange.Holder]bool{},
 		suspects: newSuspects(),
 		load:     newLoads(),
 	}
@@ -208,17 +208,18 @@
 }
 
 // refused notes that a host found no process at a server's address. The server
-// has ended once every host that is heard says so: a cut that resets
-// connections looks the same to the hosts on its one side.
+// is unreachable once every host that is heard says so.
 func (m *Machine) refused(now Time, from string, h keyrange.Holder) {
-	if h.ID == "" || m.ended[h] {
+	if h.ID == "" || m.suspects.unreachable(now, h) {
 		return
 	}
-	if m.suspects.refused(now, from, h) {
-		m.markEnded(h)
+	if !m.suspects.refused(now, from, h) {
+		m.askAgain = true
 		return
 	}
-	m.askAgain = true
+	if m.suspects.avoid(now, h) {
+		m.planned = 0
+	}
 }
 
 // askHosts asks every host about the suspects.
@@ -236,13 +237,6 @@
 	m.do(Ask{Suspects: list})
 }
 
-func (m *Machine) markEnded(h keyrange.Holder) {
-	if h.ID != "" && !m.ended[h] {
-		m.ended[h] = true
-		m.planned = 0
-	}
-}
-
 // mayAct reports whether a successor can not have acted yet.
 func (m *Machine) mayAct(now Time) bool { return now-m.confirmedAt < m.cfg.Lease }
 
@@ -379,7 +373,7 @@
 	m.suspects.reset()
 	m.change = m.known.Change
 	// An earlier assigner may have renewed any holder until its lease ended.
-	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax)
+	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax) + unansweredDelay
 	for _, t := range m.known.Tables {
 		for _, r := range t.Ranges {
 			r.Granted = false
@@ -411,9 +405,9 @@
 	m.append(rec)
 }
 
-// holdEnd is how long after its sending a grant of the given time may last.
+// holdEnd is how long after its arrival a grant of the given time may last.
 func (m *Machine) holdEnd(hold time.Duration) time.Duration {
-	return callDelay + hold + time.Duration(float64(hold)*clockDrift)
+	return holdMargin + hold + time.Duration(float64(hold)*clockDrift)
 }
 
 func (m *Machine) tickLeading(now Time) {
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -127,10 +127,10 @@
 }
 
 // usable returns the servers of a service that may own keys.
-func (m *Machine) usable(service string) []directory.Server {
+func (m *Machine) usable(now Time, service string) []directory.Server {
 	var out []directory.Server
 	for _, v := range m.servers.Servers {
-		if v.Service == service && v.State == directory.Ready && !m.ended[v.Holder] {
+		if v.Service == service && v.State == directory.Ready && !m.suspects.unreachable(now, v.Holder) {
 			out = append(out, v)
 		}
 	}
@@ -139,7 +139,7 @@
 
 // planService returns nil when nothing can be planned.
 func (m *Machine) planService(now Time, name string) *servicePlan {
-	servers := m.usable(name)
+	servers := m.usable(now, name)
 	if len(servers) == 0 {
 		return nil
 	}
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -16,7 +16,11 @@
 	freeAt Time
 	// heldUntil is the latest moment at which the owner may hold the range.
 	heldUntil Time
-	handover  string
+	// heldBefore is heldUntil without the grant that is outstanding, which lasts
+	// for sentHold.
+	heldBefore Time
+	sentHold   time.Duration
+	handover   string
 
 	granting  bool // a grant is outstanding
 	refence   bool // the owner asks for a higher token
@@ -62,7 +66,7 @@
 	if len(r.Prior) > 0 {
 		m.releasePrior(now, r)
 	}
-	if len(r.Prior) > 0 || m.ended[r.Owner] || r.granting || now < r.nextGrant {
+	if len(r.Prior) > 0 || r.granting || now < r.nextGrant {
 		return
 	}
 	addr := m.address(r.Owner)
@@ -71,7 +75,9 @@
 	}
 	r.granting = true
 	r.nextGrant = now + m.cfg.RenewEvery
-	r.heldUntil = max(r.heldUntil, now+m.holdEnd(hold))
+	r.sentHold = hold
+	r.heldBefore = r.heldUntil
+	r.heldUntil = max(r.heldUntil, now+m.holdEnd(hold)+unansweredDelay)
 	m.do(Grant{Service: r.service, Address: addr, Range: r.Range, Hold: hold, Handover: r.handover})
 }
 
@@ -79,7 +85,7 @@
 // longer, and asks the others to release.
 func (m *Machine) releasePrior(now Time, r *rangeState) {
 	for _, h := range r.Prior {
-		if h == r.Owner || m.ended[h] || now >= r.freeAt || m.replaced(h) {
+		if h == r.Owner || now >= r.freeAt || m.replaced(h) {
 			r.clear(h)
 			continue
 		}
@@ -121,6 +127,9 @@
 		r.granting = false
 		switch e.Result {
 		case CallOK:
+			// The hold runs from the call's arrival, which lies before its answer.
+			r.heldUntil = max(r.heldBefore, now+m.holdEnd(r.sentHold))
+			m.suspects.answered(r.Owner)
 			if !r.Granted {
 				r.Granted = true
 				m.dirty = true
@@ -128,16 +137,24 @@
 		case CallRefused:
 			r.nextGrant = now + retryCall
 			m.refused(now, m.cfg.Self.Name, r.Owner)
+			m.noteUnanswered(now, r.Owner)
 		case CallFenced:
 			if r.From == e.Range.From && r.To == e.Range.To {
 				m.fenced(now, r)
 			} // else the range was cut while the call was on its way
 		default:
 			r.nextGrant = now + retryCall
+			m.noteUnanswered(now, r.Owner)
 		}
 	}
 }
 
+func (m *Machine) noteUnanswered(now Time, h keyrange.Holder) {
+	if m.suspects.unanswered(now, h) {
+		m.planned = 0
+	}
+}
+
 // fenced gives a range a new token when its owner has seen a higher one: a
 // release whose answer was lost may have raised it.
 func (m *Machine) fenced(now Time, r *rangeState) {
--- a/assigner/suspects.go
+++ b/assigner/suspects.go
@@ -11,16 +11,27 @@
 	hostHeard = time.Second
 	// suspectTime is how long a refusal counts.
 	suspectTime = 2 * time.Second
+	// silentAfter is how long a server's grants stay unanswered before its keys
+	// are given to others.
+	silentAfter = 1100 * time.Millisecond
+	// avoidTime is how long a server that was found unreachable gets no keys.
+	avoidTime = 3 * time.Second
 	// leastVoices is the part of the registered hosts that must be heard before
 	// their agreement counts.
 	leastVoices = 0.5
 )
 
-// suspects collects which hosts found no process at which servers' addresses.
+// suspects collects which servers cannot be reached: which hosts found no process
+// at their addresses, and since when grants stay unanswered.
+//
+// That a server cannot be reached proves nothing about what it holds: a cut that
+// resets connections looks like the end of its process, from every host.
 type suspects struct {
 	registered int
 	hosts      map[string]Time
 	all        map[keyrange.Holder]*suspicion
+	silent     map[keyrange.Holder]Time // since when grants fail
+	avoided    map[keyrange.Holder]Time // until when it gets no keys
 }
 
 type suspicion struct {
@@ -29,12 +40,47 @@
 }
 
 func newSuspects() *suspects {
-	return &suspects{hosts: map[string]Time{}, all: map[keyrange.Holder]*suspicion{}}
+	return &suspects{
+		hosts:   map[string]Time{},
+		all:     map[keyrange.Holder]*suspicion{},
+		silent:  map[keyrange.Holder]Time{},
+		avoided: map[keyrange.Holder]Time{},
+	}
 }
 
 func (s *suspects) reset() {
 	clear(s.hosts)
 	clear(s.all)
+	clear(s.silent)
+	clear(s.avoided)
+}
+
+// unreachable reports whether a server gets no keys at present.
+func (s *suspects) unreachable(now Time, h keyrange.Holder) bool { return now < s.avoided[h] }
+
+// answered notes that a server answered a call.
+func (s *suspects) answered(h keyrange.Holder) {
+	delete(s.silent, h)
+	delete(s.avoided, h)
+	delete(s.all, h)
+}
+
+// unanswered notes that a call to a server failed and reports whether it has
+// become unreachable by that.
+func (s *suspects) unanswered(now Time, h keyrange.Holder) bool {
+	since, ok := s.silent[h]
+	if !ok {
+		s.silent[h] = now
+		return false
+	}
+	return now-since >= silentAfter && s.avoid(now, h)
+}
+
+// avoid keeps keys from a server for a while and reports whether that is news.
+func (s *suspects) avoid(now Time, h keyrange.Holder) bool {
+	news := !s.unreachable(now, h)
+	s.avoided[h] = now + avoidTime
+	return news
 }
 
 func (s *suspects) heard(now Time, host string) { s.hosts[host] = now }
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -23,9 +23,9 @@
 	tickLeading = 20 * time.Millisecond
 	tickFollow  = 60 * time.Millisecond
 	// syncWait is how long a question waits at the assigner for news.
-	syncWait = 200 * time.Millisecond
+	syncWait = 150 * time.Millisecond
 	// syncTimeout bounds a question; the assigner is then taken as silent.
-	syncTimeout = 600 * time.Millisecond
+	syncTimeout = 450 * time.Millisecond
 	// abandonAfter is how long the assigner's own confirmations fail before it
 	// asks the others to take over.
 	abandonAfter = 500 * time.Millisecond
@@ -35,9 +35,21 @@
 	ranks = 8
 )
 
+// Times of the assigner's protocol. A successor takes over and renews within
+// hold - renewEvery of its forerunner's end, so that no key is lost by that.
+const (
+	lease              = 1000 * time.Millisecond
+	confirmEvery       = 300 * time.Millisecond
+	silenceBeforeClaim = 600 * time.Millisecond
+	rankDelay          = 80 * time.Millisecond
+	hold               = 2200 * time.Millisecond
+	renewEvery         = 700 * time.Millisecond
+	settle             = 1800 * time.Millisecond
+)
+
 // Calls to the store and to backend servers.
 const (
-	confirmTimeout = 900 * time.Millisecond
+	confirmTimeout = 800 * time.Millisecond
 	loadTimeout    = 1200 * time.Millisecond
 	appendTimeout  = 1500 * time.Millisecond
 	grantTimeout   = 700 * time.Millisecond
@@ -113,14 +125,14 @@
 	}
 	c.machine = assigner.New(assigner.Config{
 		Self:               cfg.Self,
-		Lease:              1200 * time.Millisecond,
-		ConfirmEvery:       400 * time.Millisecond,
-		SilenceBeforeClaim: 900 * time.Millisecond,
-		RankDelay:          120 * time.Millisecond,
-		Hold:               min(4*time.Second, cfg.HoldMax),
+		Lease:              lease,
+		ConfirmEvery:       confirmEvery,
+		SilenceBeforeClaim: silenceBeforeClaim,
+		RankDelay:          rankDelay,
+		Hold:               min(hold, cfg.HoldMax),
 		HoldMax:            cfg.HoldMax,
-		RenewEvery:         1200 * time.Millisecond,
-		Settle:             1800 * time.Millisecond,
+		RenewEvery:         renewEvery,
+		Settle:             settle,
 	}, cfg.Clock())
 	return c
 }
