--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -70,6 +70,16 @@
 // fenceBits is the number of bits that count the moves of one epoch.
 const fenceBits = 24
 
+// omissions are rules of the protocol that a test leaves out, to show that its
+// model notices.
+type omissions struct {
+	freshRead    bool // act without a fresh read of the store
+	takeoverWait bool // count no holds of an earlier assigner
+	record       bool // grant before the record is in the store
+	newFence     bool // hand out the same token again
+	raisedFence  bool // release with the old owner's token
+}
+
 // role is what this host is in the protocol.
 type role uint8
 
@@ -116,7 +126,8 @@
 	resigned bool
 	lastPub  Time
 
-	out []Action
+	omit omissions
+	out  []Action
 }
 
 // New returns the machine of a host. Now is the present time.
@@ -238,7 +249,9 @@
 }
 
 // mayAct reports whether a successor can not have acted yet.
-func (m *Machine) mayAct(now Time) bool { return now-m.confirmedAt < m.cfg.Lease }
+func (m *Machine) mayAct(now Time) bool {
+	return m.omit.freshRead || now-m.confirmedAt < m.cfg.Lease
+}
 
 // Tick advances the machine to now.
 func (m *Machine) Tick(now Time) {
@@ -326,6 +339,9 @@
 func (m *Machine) append(rec Record) {
 	m.pending = &rec
 	m.storeBusy = true
+	if m.omit.record && m.role == leading {
+		m.adopt(m.planned, rec)
+	}
 	m.do(Append{At: m.end, Record: rec})
 }
 
@@ -374,6 +390,9 @@
 	m.change = m.known.Change
 	// An earlier assigner may have renewed any holder until its lease ended.
 	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax) + unansweredDelay
+	if m.omit.takeoverWait {
+		bound = now
+	}
 	for _, t := range m.known.Tables {
 		for _, r := range t.Ranges {
 			r.Granted = false
--- /dev/null
+++ b/assigner/model_world_test.go
@@ -0,0 +1,400 @@
+package assigner
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+const (
+	modelHosts   = 3
+	modelServers = 4
+	modelKeys    = 32 // sample keys, evenly spaced
+	modelStep    = 10 * time.Millisecond
+	modelDrift   = 0.02 // slowest clock of a server
+	modelService = "stock"
+)
+
+// sampleKey returns the i-th sample key.
+func sampleKey(i int) keyrange.Key { return keyrange.Key(i * keyrange.KeyCount / modelKeys) }
+
+// modelServer is a backend server as the platform's pages and runs show it.
+type modelServer struct {
+	holder keyrange.Holder
+	addr   string
+	up     bool
+	seen   [modelKeys]keyrange.Fence
+	had    [modelKeys]keyrange.Fence // highest token it was granted under
+	until  [modelKeys]time.Duration
+}
+
+func (s *modelServer) restart(born int64, now time.Duration) {
+	*s = modelServer{holder: keyrange.Holder{ID: s.holder.ID, Born: born}, addr: s.addr, up: true}
+}
+
+func covered(r keyrange.Range) []int {
+	var out []int
+	for i := range modelKeys {
+		if r.Contains(sampleKey(i)) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// modelHost is an entry host with its clock and links.
+type modelHost struct {
+	machine  *Machine
+	name     string
+	life     int
+	paused   time.Duration // until when it stands still
+	slept    time.Duration // what its clock missed, when suspensions are not counted
+	cutStore time.Duration
+	cut      [modelServers]time.Duration
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type world struct {
+	pick    func(n int) int
+	now     time.Duration
+	hosts   []*modelHost
+	servers []*modelServer
+	records []Record
+	down    time.Duration // until when the store is down for all
+	events  []event
+	born    int64
+	omit    omissions
+	asleep  bool // suspensions are not counted
+	err     error
+	moves   int
+	epochs  int
+}
+
+func newWorld(pick func(int) int, omit omissions, asleep bool) *world {
+	w := &world{pick: pick, omit: omit, asleep: asleep}
+	for i := range modelServers {
+		w.born++
+		id := fmt.Sprintf("s%d", i)
+		w.servers = append(w.servers, &modelServer{holder: keyrange.Holder{ID: id, Born: w.born}, addr: id, up: true})
+	}
+	for i := range modelHosts {
+		h := &modelHost{name: fmt.Sprintf("h%d", i)}
+		w.hosts = append(w.hosts, h)
+		w.start(h)
+	}
+	return w
+}
+
+func (w *world) start(h *modelHost) {
+	h.life++
+	h.slept = 0
+	h.machine = New(Config{
+		Self:               Host{Name: h.name, Incarnation: fmt.Sprint(h.life)},
+		Lease:              400 * time.Millisecond,
+		ConfirmEvery:       100 * time.Millisecond,
+		SilenceBeforeClaim: 200 * time.Millisecond,
+		RankDelay:          50 * time.Millisecond,
+		Hold:               600 * time.Millisecond,
+		HoldMax:            1500 * time.Millisecond,
+		RenewEvery:         200 * time.Millisecond,
+	}, w.clock(h))
+	h.machine.omit = w.omit
+}
+
+func (w *world) clock(h *modelHost) time.Duration { return w.now - h.slept }
+
+func (w *world) later(d time.Duration, f func()) {
+	w.events = append(w.events, event{w.now + d, f})
+}
+
+func (w *world) chance(percent int) bool { return w.pick(100) < percent }
+
+// delay is the way of one message.
+func (w *world) delay() time.Duration { return time.Duration(w.pick(3)) * modelStep }
+
+// run advances the world by one step.
+func (w *world) run() {
+	w.now += modelStep
+	w.happen()
+	w.fault()
+	for _, h := range w.hosts {
+		if w.now < h.paused {
+			continue
+		}
+		w.tell(h)
+		h.machine.Tick(w.clock(h))
+		for _, a := range h.machine.Ready() {
+			w.carryOut(h, a)
+		}
+	}
+	w.check()
+}
+
+func (w *world) happen() {
+	sort.SliceStable(w.events, func(i, j int) bool { return w.events[i].at < w.events[j].at })
+	for len(w.events) > 0 && w.events[0].at <= w.now {
+		f := w.events[0].do
+		w.events = w.events[1:]
+		f()
+	}
+}
+
+// fault makes trouble now and then.
+func (w *world) fault() {
+	h := w.hosts[w.pick(len(w.hosts))]
+	s := w.pick(modelServers)
+	long := time.Duration(5+w.pick(120)) * modelStep
+	switch w.pick(400) {
+	case 0, 1:
+		h.paused = w.now + long
+		if w.asleep {
+			h.slept += long
+		}
+	case 2, 3:
+		h.cutStore = w.now + long
+	case 4:
+		w.down = w.now + long
+	case 5, 6, 7:
+		h.cut[s] = w.now + long
+	case 8, 9:
+		for _, other := range w.hosts {
+			other.cut[s] = w.now + long
+		}
+	case 10:
+		w.start(h)
+	case 11:
+		for _, other := range w.hosts {
+			w.start(other)
+		}
+	case 12:
+		w.born++
+		w.servers[s].restart(w.born, w.now)
+	}
+}
+
+// tell gives a host the directory, late now and then, and some load.
+func (w *world) tell(h *modelHost) {
+	if w.chance(20) {
+		h.machine.SetServers(w.clock(h), Servers{Snapshot: w.directory(), Sharded: []string{modelService}})
+	}
+	for _, other := range w.hosts {
+		if other != h && w.now >= other.paused && other.machine.Leads(w.clock(other)) && w.chance(30) {
+			h.machine.HeardAssigner(w.clock(h), other.machine.Epoch())
+		}
+	}
+	if w.chance(10) {
+		hot := sampleKey(w.pick(modelKeys))
+		r := Report{Keys: []KeyLoad{{Service: modelService, Key: hot, Count: 1 + w.pick(20)}}}
+		h.machine.AddReport(w.clock(h), h.name, r)
+	}
+}
+
+// directory lists the servers; one that is hard to reach may be missing.
+func (w *world) directory() *directory.Snapshot {
+	out := &directory.Snapshot{Next: uint64(w.now), Changed: uint64(w.now)}
+	for _, s := range w.servers {
+		if w.chance(4) {
+			continue
+		}
+		out.Servers = append(out.Servers, directory.Server{
+			Holder: s.holder, Service: modelService, Address: s.addr, Slots: 3, State: directory.Ready,
+		})
+	}
+	return out
+}
+
+func (w *world) reachesStore(h *modelHost) bool { return w.now >= w.down && w.now >= h.cutStore }
+
+// answer delivers an answer to the machine that asked, if it still lives.
+func (w *world) answer(h *modelHost, f func(m *Machine, now Time)) {
+	machine, life := h.machine, h.life
+	var deliver func()
+	deliver = func() {
+		if h.life != life {
+			return
+		}
+		if w.now < h.paused {
+			w.later(h.paused-w.now, deliver)
+			return
+		}
+		f(machine, w.clock(h))
+	}
+	w.later(w.delay(), deliver)
+}
+
+func (w *world) carryOut(h *modelHost, a Action) {
+	start := w.clock(h)
+	switch a := a.(type) {
+	case Load:
+		w.later(w.delay(), func() { w.load(h, start) })
+	case Confirm:
+		w.later(w.delay(), func() { w.confirm(h, start) })
+	case Append:
+		w.later(w.delay(), func() { w.append(h, a, start) })
+	case Grant:
+		w.later(w.delay(), func() { w.grant(h, a) })
+	case Release:
+		w.later(w.delay(), func() { w.release(h, a) })
+	}
+}
+
+func (w *world) load(h *modelHost, start Time) {
+	e := Loaded{Result: StoreFailed, Start: start}
+	if w.reachesStore(h) {
+		e.Result, e.End = StoreOK, uint64(len(w.records))
+		if n := len(w.records); n > 0 {
+			rec := w.records[n-1]
+			e.Record = &rec
+		}
+	}
+	w.answer(h, func(m *Machine, now Time) { m.StepLoaded(now, e) })
+}
+
+func (w *world) confirm(h *modelHost, start Time) {
+	e := Confirmed{Result: StoreFailed, Start: start, End: uint64(len(w.records))}
+	if w.reachesStore(h) {
+		e.Result = StoreOK
+	}
+	w.answer(h, func(m *Machine, now Time) { m.StepConfirmed(now, e) })
+}
+
+// append applies an append at once, late or not at all; answers get lost.
+func (w *world) append(h *modelHost, a Append, start Time) {
+	apply := func() bool {
+		if uint64(len(w.records)) != a.At {
+			return false
+		}
+		if n := len(w.records); n == 0 || w.records[n-1].Epoch != a.Record.Epoch {
+			w.epochs++
+		}
+		w.records = append(w.records, a.Record)
+		w.moves++
+		return true
+	}
+	e := Appended{Result: StoreDoubt, Start: start}
+	switch {
+	case !w.reachesStore(h):
+		if w.chance(30) {
+			w.later(time.Duration(w.pick(200))*modelStep, func() { apply() })
+		} else if w.chance(50) {
+			e.Result = StoreFailed
+		}
+	case w.chance(6):
+		w.later(time.Duration(w.pick(200))*modelStep, func() { apply() })
+	default:
+		done := apply()
+		switch {
+		case w.chance(6):
+		case done:
+			e.Result, e.End = StoreOK, uint64(len(w.records))
+		default:
+			e.Result = StoreConflict
+		}
+	}
+	w.answer(h, func(m *Machine, now Time) { m.StepAppended(now, e) })
+}
+
+// server returns the server at an address if h reaches it.
+func (w *world) server(h *modelHost, addr string) *modelServer {
+	i := slices.IndexFunc(w.servers, func(s *modelServer) bool { return s.addr == addr })
+	if i < 0 || !w.servers[i].up || w.now < h.cut[i] {
+		return nil
+	}
+	return w.servers[i]
+}
+
+func (w *world) grant(h *modelHost, a Grant) {
+	e := Granted{Service: a.Service, Range: a.Range, Result: CallFailed}
+	s := w.server(h, a.Address)
+	switch {
+	case s == nil:
+		if w.chance(30) {
+			e.Result = CallRefused
+		}
+	case w.chance(4): // carried out late; the time counts from the arrival
+		arrived, life := w.now, s.holder
+		w.later(time.Duration(w.pick(100))*modelStep, func() {
+			if s.holder == life {
+				w.hold(s, a, arrived)
+			}
+		})
+	default:
+		result := w.hold(s, a, w.now)
+		if !w.chance(4) {
+			e.Result = result
+		}
+	}
+	w.answer(h, func(m *Machine, now Time) { m.StepGranted(now, e) })
+}
+
+// hold carries a grant out that arrived at a moment.
+func (w *world) hold(s *modelServer, a Grant, arrived time.Duration) CallResult {
+	keys := covered(a.Range)
+	for _, k := range keys {
+		if s.seen[k] > a.Range.Fence {
+			return CallFenced
+		}
+	}
+	slow := time.Duration(float64(a.Hold) * modelDrift * float64(w.pick(101)) / 100)
+	for _, k := range keys {
+		until := arrived + a.Hold + slow
+		if until > w.now {
+			w.checkFence(s, k, a.Range.Fence)
+		}
+		s.seen[k], s.had[k] = a.Range.Fence, a.Range.Fence
+		s.until[k] = max(s.until[k], until)
+	}
+	return CallOK
+}
+
+func (w *world) checkFence(s *modelServer, k int, f keyrange.Fence) {
+	for _, other := range w.servers {
+		if other != s && other.had[k] >= f && w.err == nil {
+			w.err = fmt.Errorf("%v: %s takes key %d with token %d, %s had %d", w.now, s.holder.ID, k, f, other.holder.ID, other.had[k])
+		}
+	}
+}
+
+func (w *world) release(h *modelHost, a Release) {
+	e := Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: CallFailed}
+	s := w.server(h, a.Address)
+	if s == nil {
+		if w.chance(30) {
+			e.Result = CallRefused
+		}
+	} else {
+		for _, k := range covered(a.Range) {
+			s.seen[k] = max(s.seen[k], a.Range.Fence)
+			s.until[k] = min(s.until[k], w.now)
+		}
+		if !w.chance(5) {
+			e.Result = CallOK
+			e.Handover = "state"
+		}
+	}
+	w.answer(h, func(m *Machine, now Time) { m.StepReleased(now, e) })
+}
+
+// check finds a key that two servers hold.
+func (w *world) check() {
+	for k := range modelKeys {
+		var holding []string
+		for _, s := range w.servers {
+			if s.until[k] > w.now {
+				holding = append(holding, s.holder.ID)
+			}
+		}
+		if len(holding) > 1 && w.err == nil {
+			w.err = fmt.Errorf("%v: servers %v hold key %d", w.now, holding, k)
+		}
+	}
+}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -79,7 +79,7 @@
 		}
 		if p.changed {
 			changed = true
-			p.number(&fences)
+			p.number(&fences, m.omit.newFence)
 		}
 		tables = append(tables, p.table())
 	}
@@ -405,10 +405,12 @@
 }
 
 // number gives every moved range the next fencing token.
-func (p *servicePlan) number(fences *keyrange.Fence) {
+func (p *servicePlan) number(fences *keyrange.Fence, reuse bool) {
 	for i := range p.ranges {
 		if p.ranges[i].Fence == 0 {
-			*fences++
+			if !reuse {
+				*fences++
+			}
 			p.ranges[i].Fence = *fences
 		}
 	}
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -90,31 +90,48 @@
 			continue
 		}
 		c := r.call(h)
-		addr := m.address(h)
+		addr := m.addressOfID(h)
 		if c.busy || now < c.next || addr == "" {
 			continue
 		}
 		c.busy = true
-		m.do(Release{Service: r.service, Address: addr, Range: r.Range, Holder: h})
+		released := r.Range
+		if m.omit.raisedFence {
+			released.Fence = 0
+		}
+		m.do(Release{Service: r.service, Address: addr, Range: released, Holder: h})
 	}
 }
 
-// replaced reports whether the directory shows a later life of h, or a later
-// process at its address.
+// replaced reports whether the directory shows that h has ended and that no
+// grant for it can reach a process any more: its id is listed with a later life at
+// another address, or another id with a later life at its address. A later life
+// with the same id and address may have taken a renewal that was meant for h.
 func (m *Machine) replaced(h keyrange.Holder) bool {
+	addr := m.load.address(h)
+	if addr == "" {
+		return false
+	}
 	if v := m.servers.Find(h.ID); v != nil {
-		return v.Holder.Born > h.Born
+		return v.Holder.Born > h.Born && v.Address != addr
 	}
-	addr := m.load.address(h)
 	for i := range m.servers.Servers {
 		v := &m.servers.Servers[i]
-		if addr != "" && v.Address == addr && v.Holder.Born > h.Born {
+		if v.Address == addr && v.Holder.Born > h.Born {
 			return true
 		}
 	}
 	return false
 }
 
+// addressOfID returns where the present life of a holder's id listens.
+func (m *Machine) addressOfID(h keyrange.Holder) string {
+	if v := m.servers.Find(h.ID); v != nil {
+		return v.Address
+	}
+	return m.load.address(h)
+}
+
 // StepGranted takes the answer to a Grant.
 func (m *Machine) StepGranted(now Time, e Granted) {
 	for _, r := range m.ranges {
@@ -171,6 +188,9 @@
 		m.refused(now, m.cfg.Self.Name, e.Holder)
 	}
 	for _, r := range m.ranges {
+		if m.omit.raisedFence {
+			e.Range.Fence = r.Fence
+		}
 		if !r.is(e.Service, e.Range) {
 			continue
 		}
