--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -53,8 +53,6 @@
 	clockDrift = 0.02
 	// holdMargin covers the rounding of times on the way.
 	holdMargin = 30 * time.Millisecond
-	// unansweredDelay bounds the way of a grant that was not answered.
-	unansweredDelay = 300 * time.Millisecond
 	// retryCall is the pause before a failed grant or release is sent again.
 	retryCall = 300 * time.Millisecond
 	// retryStore is the pause before a failed call to the store is made again.
@@ -67,6 +65,10 @@
 	publishEvery = 5 * time.Millisecond
 )
 
+// GrantSpan bounds the time from the decision to grant to the last moment at
+// which the grant can arrive at the server.
+const GrantSpan = 900 * time.Millisecond
+
 // fenceBits is the number of bits that count the moves of one epoch.
 const fenceBits = 24
 
@@ -389,7 +391,7 @@
 	m.suspects.reset()
 	m.change = m.known.Change
 	// An earlier assigner may have renewed any holder until its lease ended.
-	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax) + unansweredDelay
+	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax) + GrantSpan
 	if m.omit.takeoverWait {
 		bound = now
 	}
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -16,7 +16,13 @@
 const (
 	// relays is the number of other hosts that are asked to make a call.
 	relays       = 2
-	relayTimeout = 600 * time.Millisecond
+	relayTimeout = 200 * time.Millisecond
+	// grantTimeout bounds a grant that this host sends itself, grantSpan all sends
+	// of a grant. It stays below assigner.GrantSpan.
+	grantTimeout = 350 * time.Millisecond
+	grantSpan    = 600 * time.Millisecond
+	// decisionAge is how old a decision may be when it is carried out.
+	decisionAge = 150 * time.Millisecond
 	// askedBits is the number of bits that count the questions of one epoch.
 	askedBits = 20
 	// tryTimeout bounds the connection that tells whether a process listens.
@@ -24,13 +30,17 @@
 )
 
 // grant gives or renews a range. A server that this host cannot reach is called
-// by another host.
-func (c *Cluster) grant(ctx context.Context, a assigner.Grant) {
+// by another host. All sends happen within grantSpan of the machine's decision:
+// a successor counts on it.
+func (c *Cluster) grant(decided time.Duration, a assigner.Grant) {
 	c.stats.Grants.Add(1)
-	result, err := c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+	result, err := assigner.CallFailed, error(nil)
+	if c.cfg.Clock()-decided < decisionAge {
+		result, err = c.grantDirect(a)
+	}
 	if result == assigner.CallFailed || result == assigner.CallRefused {
 		call := hostlink.Call{Address: a.Address, Range: a.Range, HoldMS: a.Hold.Milliseconds(), Handover: a.Handover}
-		if answer, ok := c.relay(call, relayTimeout); ok {
+		if answer, ok := c.relay(call, decided+grantSpan); ok {
 			result = answer.Result
 		}
 	}
@@ -43,13 +53,20 @@
 	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
 }
 
+func (c *Cluster) grantDirect(a assigner.Grant) (assigner.CallResult, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
+	defer cancel()
+	return c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+}
+
 // release takes a range back. A server that this host cannot reach is called by
 // another host.
 func (c *Cluster) release(ctx context.Context, a assigner.Release) {
 	c.stats.Releases.Add(1)
 	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
 	if result == assigner.CallFailed || result == assigner.CallRefused {
-		if answer, ok := c.relay(hostlink.Call{Address: a.Address, Range: a.Range, Release: true}, releaseTimeout); ok {
+		call := hostlink.Call{Address: a.Address, Range: a.Range, Release: true}
+		if answer, ok := c.relay(call, c.cfg.Clock()+releaseTimeout); ok {
 			result, handover = answer.Result, answer.Handover
 		}
 	}
@@ -59,11 +76,19 @@
 	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
 }
 
-// relay asks other hosts to make a call, one after the other. It reports whether
-// one of them had an answer from the server.
-func (c *Cluster) relay(call hostlink.Call, limit time.Duration) (*hostlink.CallAnswer, bool) {
+// relay asks other hosts to make a call, one after the other, until a moment. It
+// reports whether one of them had an answer from the server.
+func (c *Cluster) relay(call hostlink.Call, until time.Duration) (*hostlink.CallAnswer, bool) {
 	for _, h := range c.someHosts(relays) {
-		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		left := until - c.cfg.Clock()
+		if left <= 0 {
+			return nil, false
+		}
+		if !call.Release {
+			left = min(left, relayTimeout)
+		}
+		call.LimitMS = left.Milliseconds()
+		ctx, cancel := context.WithTimeout(c.ctx, left)
 		answer, err := c.relayTo(ctx, h, call)
 		cancel()
 		if err != nil {
@@ -106,6 +131,8 @@
 
 // Relay implements hostlink.Handler.
 func (c *Cluster) Relay(ctx context.Context, call *hostlink.Call) (*hostlink.CallAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.LimitMS)*time.Millisecond)
+	defer cancel()
 	out := &hostlink.CallAnswer{}
 	var err error
 	if call.Release {
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -52,7 +52,6 @@
 	confirmTimeout = 800 * time.Millisecond
 	loadTimeout    = 1200 * time.Millisecond
 	appendTimeout  = 1500 * time.Millisecond
-	grantTimeout   = 700 * time.Millisecond
 	// releaseTimeout is long since a server answers when running work has ended.
 	releaseTimeout = 8 * time.Second
 )
@@ -239,7 +238,7 @@
 			end := c.machine.End()
 			c.call(confirmTimeout, func(ctx context.Context) { c.confirm(ctx, end) })
 		case assigner.Grant:
-			c.call(grantTimeout, func(ctx context.Context) { c.grant(ctx, a) })
+			c.call(assigner.GrantSpan, func(context.Context) { c.grant(now, a) })
 		case assigner.Release:
 			c.call(releaseTimeout, func(ctx context.Context) { c.release(ctx, a) })
 		case assigner.Publish:
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -65,6 +65,7 @@
 	Release  bool           `json:"release"`
 	HoldMS   int64          `json:"hold_ms,omitempty"`
 	Handover string         `json:"handover,omitempty"`
+	LimitMS  int64          `json:"limit_ms"` // how long it may take
 }
 
 // CallAnswer is how it ended.
