--- /dev/null
+++ b/gateway/decisions_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+	"github.com/lacewingsaddle/lacewingsaddle/routetable"
+)
+
+func TestBudgetCountsASlidingWindow(t *testing.T) {
+	b := newBudget(BudgetRule{Ratio: 0.2, Extra: 8, Window: 10 * time.Second})
+	for range 100 {
+		b.request(0)
+	}
+	allowed := 0
+	for b.try(time.Second, 2) {
+		allowed++
+	}
+	require.Equal(t, int(budgetMargin*(0.2*100+8/2)), allowed)
+	require.False(t, b.try(9*time.Second, 2))
+	require.True(t, b.try(12*time.Second, 2), "the tries have left the window")
+	allowed = 1
+	for b.try(12*time.Second, 2) {
+		allowed++
+	}
+	require.Equal(t, int(budgetMargin*8/2), allowed, "the requests have left it too")
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := &routetable.Route{Name: "r", Parts: []routetable.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	s := newSplitter()
+	count := map[string]int{}
+	for range 100 {
+		count[s.pick(r)]++
+	}
+	require.Equal(t, map[string]int{"a": 90, "b": 10}, count)
+	r2 := &routetable.Route{Name: "r", Parts: []routetable.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	clear(count)
+	for range 10 {
+		count[s.pick(r2)]++
+	}
+	require.Equal(t, map[string]int{"a": 5, "b": 5}, count)
+}
+
+func TestRoomAdmitsTheMostUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoom(1)
+		ctx := context.Background()
+		require.NoError(t, r.enter(ctx, 1, 0))
+		var order []int
+		for _, priority := range []int{2, 0, 1} {
+			go func() {
+				if r.enter(ctx, priority, time.Second) == nil {
+					order = append(order, priority)
+					r.leave(time.Millisecond, time.Second, false, false)
+				}
+			}()
+			synctest.Wait()
+		}
+		r.leave(time.Millisecond, time.Second, false, false)
+		synctest.Wait()
+		require.Equal(t, []int{0, 1, 2}, order)
+	})
+}
+
+func TestRoomWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoom(1)
+		require.NoError(t, r.enter(context.Background(), 0, 0))
+		start := time.Now()
+		err := r.enter(context.Background(), 0, 70*time.Millisecond)
+		require.Equal(t, fault.QueueTimeout, fault.KindOf(err))
+		require.Equal(t, 70*time.Millisecond, time.Since(start))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		require.Equal(t, fault.NotSent, fault.KindOf(r.enter(ctx, 0, time.Second)))
+		require.Empty(t, r.waiting)
+	})
+}
+
+// Late answers and shedding shrink the room; answers in time let it grow again.
+func TestRoomLearns(t *testing.T) {
+	r := newRoom(8)
+	late := func(n int) {
+		for range n {
+			r.used++
+			r.leave(time.Second, 600*time.Millisecond, false, false)
+		}
+	}
+	late(20)
+	require.Less(t, r.limit, 2.5)
+	late(100)
+	require.Equal(t, smallestRoom, r.limit)
+	for range 40 {
+		r.used = int(r.limit)
+		r.leave(100*time.Millisecond, 600*time.Millisecond, false, false)
+	}
+	require.Greater(t, r.limit, 6.0)
+	r.used = 1
+	r.leave(0, time.Second, true, true)
+	require.Less(t, r.limit, 6.0)
+}
+
+func choosable(id, domain string, average time.Duration) *server {
+	return &server{
+		Server:  directory.Server{Holder: keyrange.Holder{ID: id}, Domain: domain, Slots: 3},
+		average: average,
+	}
+}
+
+// Load flows to servers that answer soon; a failing server gets little of it,
+// but some, so that its recovery shows.
+func TestChoiceAvoidsSlowAndFailingServers(t *testing.T) {
+	slow := choosable("slow", "a", 2*time.Second)
+	bad := choosable("bad", "a", 250*time.Millisecond)
+	bad.failures = 0.9
+	list := []*server{slow, bad}
+	for range 6 {
+		list = append(list, choosable("good", "a", 250*time.Millisecond))
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	count := map[string]int{}
+	for range 2000 {
+		count[choose(list, time.Now(), "a", r.IntN).Holder.ID]++
+	}
+	require.Less(t, count["slow"], 40)
+	require.Less(t, count["bad"], 40)
+	require.Positive(t, count["slow"]+count["bad"])
+	require.Nil(t, choose(nil, time.Now(), "a", r.IntN))
+}
+
+func TestChoicePrefersTheOwnDomain(t *testing.T) {
+	list := []*server{choosable("here", "a", 250*time.Millisecond), choosable("there", "b", 250*time.Millisecond)}
+	r := rand.New(rand.NewPCG(1, 2))
+	here := 0
+	for range 1000 {
+		if choose(list, time.Now(), "a", r.IntN).Holder.ID == "here" {
+			here++
+		}
+	}
+	require.Greater(t, here, 800)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
 
 // Control is what routing needs of the control state.
@@ -33,6 +34,7 @@
 	Domain  string
 	Headers Headers
 	Budget  BudgetRule
+	Dial    upstream.Dialer // opens connections to backend servers; nil means plain TCP
 }
 
 // Gateway is an http.Handler for callers' requests.
@@ -59,7 +61,7 @@
 		cfg:     cfg,
 		control: control,
 		logger:  logger.Named("gateway"),
-		servers: newServers(),
+		servers: newServers(cfg.Dial),
 		split:   newSplitter(),
 		Metrics: newMetrics(),
 		budgets: map[string]*budget{},
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,359 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// inBench runs f with a bench in virtual time.
+func inBench(t *testing.T, f func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		f(t, b)
+	})
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		w := b.send("POST", "/book/7?x=1", "a", "body")
+		require.Equal(t, 200, w.Code)
+		require.Equal(t, "/book/7body", w.Body.String())
+		require.Equal(t, "ok", w.Header().Get("X-Signature"))
+		require.Equal(t, "a", w.Header().Get("X-Id"))
+		require.Equal(t, 1, b.ran("a"))
+	})
+}
+
+func TestRequestIsForwardedUnchanged(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		var got *http.Request
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			got = req
+			return b.answer(conn, req)
+		}
+		req := httptest.NewRequest("GET", "/look/a%2Fb/?q=%20", nil)
+		req.Host = "shop.example:80"
+		req.Header.Set("X-Id", "r")
+		req.Header.Set("X-Key", "5")
+		req.Header.Set("X-Deadline", "900")
+		req.Header.Set("X-Expected", "smuggled")
+		req.Header.Set("Connection", "X-Private")
+		req.Header.Set("X-Private", "1")
+		req.Header.Set("X-Other", "kept")
+		require.Equal(t, 200, b.do(req).Code)
+		require.Equal(t, "/look/a%2Fb/?q=%20", got.RequestURI)
+		require.Equal(t, "shop.example:80", got.Host)
+		require.Equal(t, "s1", got.Header.Get("X-Expected"))
+		require.Equal(t, "kept", got.Header.Get("X-Other"))
+		require.Empty(t, got.Header.Get("X-Private"))
+		ms, err := strconv.Atoi(got.Header.Get("X-Deadline"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, ms, 900)
+	})
+}
+
+// outcome is what one way of failing leads to, for a request that may be
+// repeated and for one that may not.
+type outcome struct {
+	name   string
+	server func(b *bench) backendFunc
+	safe   int // status of an idempotent request
+	once   int // status of a request that may run only once
+	runs   int // most runs of the latter
+}
+
+func outcomes() []outcome {
+	cut := func(text string) func(b *bench) backendFunc {
+		return func(b *bench) backendFunc {
+			return func(conn net.Conn, req *http.Request) bool {
+				_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+				b.run(req)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", req.Header.Get("X-Id"))) // the connection ends anyway
+				return false
+			}
+		}
+	}
+	return []outcome{
+		{"closes without an answer", cut(""), 502, 502, 1},
+		{"cuts the head", cut("HTTP/1.1 200 OK\r\nX-Id: ID\r\n"), 502, 502, 1},
+		{"cuts the body", cut("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: ok\r\nContent-Length: 9\r\n\r\nabc"), 502, 502, 1},
+		{"cuts a chunk", cut("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: ok\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), 502, 502, 1},
+		{"sends no answer of the protocol", cut("garbage\r\n\r\n"), 502, 502, 1},
+		{"answers another request", cut("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: ok\r\nContent-Length: 2\r\n\r\nhi"), 502, 502, 1},
+		{"answers without a signature", cut("HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 2\r\n\r\nhi"), 502, 502, 1},
+		{"sheds", func(*bench) backendFunc { return notRunning }, 503, 503, 0},
+		{"does not hold the key", func(*bench) backendFunc {
+			return func(conn net.Conn, req *http.Request) bool {
+				_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+				return reply(conn, req, 421, "X-Not-Run: 1\r\n", "")
+			}
+		}, 503, 503, 0},
+		{"says that it failed", func(b *bench) backendFunc {
+			return func(conn net.Conn, req *http.Request) bool {
+				_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+				b.run(req)
+				return reply(conn, req, 500, "X-Signature: ok\r\n", "no")
+			}
+		}, 500, 500, 1},
+		{"falls silent", func(b *bench) backendFunc {
+			return func(conn net.Conn, req *http.Request) bool {
+				_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+				b.run(req)
+				return waitForEnd(conn)
+			}
+		}, 504, 504, 1},
+		{"refuses connections", func(*bench) backendFunc { return nil }, 503, 503, 0},
+	}
+}
+
+// waitForEnd says nothing until the other end closes the connection.
+func waitForEnd(conn net.Conn) bool {
+	var one [1]byte
+	_, _ = conn.Read(one[:]) // ends with the connection
+	return false
+}
+
+// Each way of failing has its answer: "not run" is said only when it is true,
+// and a request that may run once runs at most once.
+func TestOutcomes(t *testing.T) {
+	for _, c := range outcomes() {
+		for _, path := range []string{"/look/1", "/book/1", "/list/1", "/order/1"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				inBench(t, func(t *testing.T, b *bench) {
+					for _, id := range []string{"s1", "o1", "o2"} {
+						b.servers[id] = c.server(b)
+					}
+					w := b.send("POST", path, "id", "x")
+					require.NotNil(t, w)
+					want := c.safe
+					if path == "/book/1" || path == "/order/1" {
+						want = c.once
+						require.LessOrEqual(t, b.ran("id"), c.runs)
+					}
+					require.Equal(t, want, w.Code)
+					if w.Code == 503 {
+						require.Zero(t, b.ran("id"))
+						require.NotEmpty(t, w.Header().Get("Retry-After"))
+					}
+				})
+			})
+		}
+	}
+}
+
+// An answer to an earlier request that arrives late is passed over.
+func TestLateAnswerBeforeTheRightOne(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			b.run(req)
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: old\r\nX-Signature: old\r\nContent-Length: 3\r\n\r\nold") // the next write tells
+			return reply(conn, req, 200, "X-Signature: ok\r\n", "right")
+		}
+		w := b.send("GET", "/look/1", "new", "")
+		require.Equal(t, "right", w.Body.String())
+	})
+}
+
+func TestUnkeyedRequestGoesToAnotherServer(t *testing.T) {
+	for _, path := range []string{"/list/1", "/order/1"} {
+		inBench(t, func(t *testing.T, b *bench) {
+			b.servers["o1"] = notRunning
+			for i := range 20 {
+				w := b.send("POST", path, fmt.Sprint(i), "x")
+				require.Equal(t, 200, w.Code)
+				require.Equal(t, 1, b.ran(fmt.Sprint(i)))
+			}
+		})
+	}
+}
+
+// A request for a key on its way to another server waits for the grant.
+func TestRequestWaitsForTheNewOwner(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.control.change(func(v *cluster.View) {
+			m := owners("s2", 2)
+			m.Tables[0].Ranges[0].Granted = false
+			v.Owners = m
+		})
+		time.AfterFunc(100*time.Millisecond, func() {
+			b.control.change(func(v *cluster.View) { v.Owners = owners("s2", 3) })
+		})
+		start := time.Now()
+		require.Equal(t, 200, b.send("POST", "/book/1", "a", "x").Code)
+		require.Equal(t, 100*time.Millisecond, time.Since(start))
+	})
+}
+
+// A key that stays without an owner is refused soon, not at the deadline.
+func TestRequestForAKeyWithoutOwnerIsRefusedSoon(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.control.change(func(v *cluster.View) { v.Owners = &keyrange.Map{} })
+		start := time.Now()
+		w := b.send("POST", "/book/1", "a", "x")
+		require.Equal(t, 503, w.Code)
+		require.Less(t, time.Since(start), 400*time.Millisecond)
+	})
+}
+
+// The server's word that it does not hold the key leads to the new owner.
+func TestMovedKeyIsSentToTheNewOwner(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+			b.control.change(func(v *cluster.View) { v.Owners = owners("s2", 2) })
+			return reply(conn, req, 421, "X-Not-Run: 1\r\n", "")
+		}
+		require.Equal(t, 200, b.send("POST", "/book/1", "a", "x").Code)
+		require.Equal(t, 1, b.ran("a"))
+	})
+}
+
+func TestRefusedConnectionIsReported(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = nil
+		b.send("POST", "/book/1", "a", "x")
+		require.NotEmpty(t, b.control.refused)
+	})
+}
+
+// Second tries stay within the budget, whatever fails.
+func TestSecondTriesStayWithinTheBudget(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		var sends atomic.Int64
+		for _, id := range []string{"o1", "o2"} {
+			b.servers[id] = func(conn net.Conn, req *http.Request) bool {
+				sends.Add(1)
+				return notRunning(conn, req)
+			}
+		}
+		const requests = 300
+		for i := range requests {
+			b.send("POST", "/list/1", fmt.Sprint(i), "x")
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.LessOrEqual(t, sends.Load(), int64(requests+0.2*requests+10))
+		require.Greater(t, sends.Load(), int64(requests))
+	})
+}
+
+// The caller's leaving reaches the server at once.
+func TestCallerLeaves(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		left := make(chan time.Time, 1)
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+			waitForEnd(conn)
+			left <- time.Now()
+			return false
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		req := httptest.NewRequestWithContext(ctx, "GET", "/look/1", nil)
+		req.Host = "shop.example"
+		req.Header.Set("X-Id", "a")
+		req.Header.Set("X-Key", "1")
+		start := time.Now()
+		require.Nil(t, b.do(req))
+		require.Equal(t, 50*time.Millisecond, (<-left).Sub(start))
+	})
+}
+
+func TestRouteTimeout(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = func(conn net.Conn, _ *http.Request) bool { return waitForEnd(conn) }
+		start := time.Now()
+		require.Equal(t, 504, b.send("GET", "/look/1", "a", "").Code)
+		require.Equal(t, 2*time.Second, time.Since(start))
+	})
+}
+
+func TestLongBodies(t *testing.T) {
+	for _, size := range []int{0, 100, 20 << 10, maxHeld - 1, maxHeld, maxHeld + 5, 3 << 20} {
+		inBench(t, func(t *testing.T, b *bench) {
+			body := strings.Repeat("z", size)
+			w := b.send("POST", "/scan/1", "a", body)
+			require.Equal(t, 200, w.Code, "size %d", size)
+			require.Equal(t, len("/scan/1")+size, w.Body.Len())
+			require.Equal(t, 1, b.ran("a"))
+		})
+	}
+}
+
+// A server that answers before it has read the body does not get the next
+// request's bytes in the body's place.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		early := func(conn net.Conn, req *http.Request) bool {
+			reply(conn, req, 500, "X-Signature: ok\r\n", "early")
+			rest, _ := io.ReadAll(req.Body) // an error means that the connection was closed
+			require.NotContains(t, string(rest), "HTTP/1.1")
+			return false
+		}
+		b.servers["o1"], b.servers["o2"] = early, early
+		require.Equal(t, 500, b.send("POST", "/scan/1", "a", strings.Repeat("z", 50<<10)).Code)
+		b.servers["o1"], b.servers["o2"] = b.answer, b.answer
+		require.Equal(t, 200, b.send("POST", "/scan/1", "b", "x").Code)
+	})
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: ok\r\n\r\nall of it", req.Header.Get("X-Id")) // the end tells
+			return false
+		}
+		w := b.send("GET", "/look/1", "a", "")
+		require.Equal(t, "all of it", w.Body.String())
+	})
+}
+
+func TestUnknownRouteAndMissingKey(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		require.Equal(t, 404, b.send("GET", "/nowhere/", "a", "").Code)
+		req := httptest.NewRequest("GET", "/look/1", nil)
+		req.Host = "shop.example"
+		require.Equal(t, 400, b.do(req).Code)
+	})
+}
+
+func TestStoppingClosesConnectionsAndThenRefuses(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.gateway.Stop()
+		w := b.send("GET", "/look/1", "a", "")
+		require.Equal(t, 200, w.Code)
+		require.Equal(t, "close", w.Header().Get("Connection"))
+		require.False(t, b.gateway.Ready())
+		b.gateway.Close()
+		require.Equal(t, 503, b.send("GET", "/look/1", "b", "").Code)
+	})
+}
+
+// Connections are used again, but not for a request that may run once when they
+// have been idle for long.
+func TestConnectionsAreReused(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		for i := range 5 {
+			b.send("POST", "/book/1", fmt.Sprint(i), "x")
+		}
+		require.Equal(t, 1, b.dials)
+		time.Sleep(3 * time.Second)
+		b.send("POST", "/book/1", "late", "x")
+		require.Equal(t, 2, b.dials)
+	})
+}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -84,11 +84,14 @@
 
 // servers holds the known backend servers by their present life.
 type servers struct {
-	mu  sync.Mutex
-	all map[keyrange.Holder]*server
+	dial upstream.Dialer
+	mu   sync.Mutex
+	all  map[keyrange.Holder]*server
 }
 
-func newServers() *servers { return &servers{all: map[keyrange.Holder]*server{}} }
+func newServers(dial upstream.Dialer) *servers {
+	return &servers{dial: dial, all: map[keyrange.Holder]*server{}}
+}
 
 // get returns the state of a listed server.
 func (s *servers) get(v *directory.Server, limit int) *server {
@@ -96,7 +99,7 @@
 	defer s.mu.Unlock()
 	known := s.all[v.Holder]
 	if known == nil || known.Address != v.Address {
-		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit), room: newRoom(limit), average: typicalTime}
+		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial), room: newRoom(limit), average: typicalTime}
 		s.all[v.Holder] = known
 	}
 	known.conns.SetLimit(limit + spareConnections)
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -21,9 +21,13 @@
 	freshEnough = 1500 * time.Millisecond
 )
 
+// Dialer opens a connection.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Server holds the connections to one address.
 type Server struct {
 	Address string
+	dialer  Dialer
 
 	mu    sync.Mutex
 	idle  []*conn // the most recently used last
@@ -31,9 +35,12 @@
 	limit int // connections that this host may open
 }
 
-// NewServer returns a server without connections.
-func NewServer(address string, limit int) *Server {
-	return &Server{Address: address, limit: max(limit, 1)}
+// NewServer returns a server without connections. A nil dialer means plain TCP.
+func NewServer(address string, limit int, d Dialer) *Server {
+	if d == nil {
+		d = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Server{Address: address, dialer: d, limit: max(limit, 1)}
 }
 
 // SetLimit sets the number of connections that this host may open.
@@ -94,8 +101,7 @@
 	}
 	s.open++
 	s.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", s.Address)
+	raw, err := s.dialer(ctx, "tcp", s.Address)
 	if err == nil {
 		return newConn(raw, time.Now()), nil
 	}
