cluster: the assigner tells configuration, hosts and changes; the others read the store only without it

Calls fall to the assigner's and to those of hosts that hear none; maps and directories go as changes; small hosts claim later.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -32,6 +32,8 @@
 	Lease time.Duration
 	// ConfirmEvery is the pause between such reads.
 	ConfirmEvery time.Duration
+	// ClaimDelay is added for hosts that suit less as the assigner.
+	ClaimDelay time.Duration
 	// SilenceBeforeClaim is how long a host waits for the assigner before it
 	// claims the next epoch. Each rank waits RankDelay more.
 	SilenceBeforeClaim time.Duration
@@ -57,12 +59,14 @@
 	retryCall = 300 * time.Millisecond
 	// retryStore is the pause before a failed call to the store is made again.
 	retryStore = 150 * time.Millisecond
+	// longestRetry bounds that pause while the store does not answer.
+	longestRetry = 900 * time.Millisecond
 	// slowStore is how long a confirmation may take before grants are lengthened.
 	slowStore = 250 * time.Millisecond
 	// planEvery is the pause between plans.
 	planEvery = 200 * time.Millisecond
 	// publishEvery is the longest pause between changes of grants and their publication.
-	publishEvery = 5 * time.Millisecond
+	publishEvery = 15 * time.Millisecond
 )
 
 // GrantSpan bounds the time from the decision to grant to the last moment at
@@ -105,6 +109,7 @@
 	heard      bool
 	storeBusy  bool // a Load or an Append is outstanding
 	storeRetry Time
+	loadPause  time.Duration // before the next Load after one that failed
 
 	confirmedAt    Time
 	confirmStarted Time
@@ -127,6 +132,8 @@
 	dirty    bool
 	resigned bool
 	lastPub  Time
+	// published is the map that was published last, nil when there is none.
+	published *keyrange.Map
 
 	omit omissions
 	out  []Action
@@ -270,6 +277,7 @@
 	if !m.loaded {
 		wait = 0
 	}
+	wait += m.cfg.ClaimDelay
 	if m.resigned || m.storeBusy || now < m.storeRetry || now-m.heardAt < wait {
 		return
 	}
@@ -281,9 +289,11 @@
 func (m *Machine) StepLoaded(now Time, e Loaded) {
 	m.storeBusy = false
 	if e.Result != StoreOK {
-		m.storeRetry = now + retryStore
+		m.loadPause = min(max(2*m.loadPause, retryStore), longestRetry)
+		m.storeRetry = now + m.loadPause
 		return
 	}
+	m.loadPause = 0
 	first := !m.loaded
 	m.loaded = true
 	m.end = e.End
@@ -437,9 +447,8 @@
 		return
 	}
 	m.askHosts(now)
-	if !m.storeBusy && now >= m.storeRetry && now-m.planned >= planEvery {
-		m.planned = now
-		m.plan(now)
+	if !m.storeBusy && now >= m.storeRetry {
+		m.planOrResolve(now)
 	}
 	hold := m.holdTime(now)
 	for _, r := range m.ranges {
@@ -449,7 +458,21 @@
 		m.dirty = false
 		m.lastPub = now
 		m.change++
-		m.do(Publish{Map: m.currentMap()})
+		m.published = m.publishable()
+		m.do(Publish{Map: m.published})
+	}
+}
+
+// planOrResolve plans, unless the last record is still in doubt.
+func (m *Machine) planOrResolve(now Time) {
+	if m.pending != nil {
+		m.storeBusy = true
+		m.do(Load{})
+		return
+	}
+	if now-m.planned >= planEvery {
+		m.planned = now
+		m.plan(now)
 	}
 }
 
@@ -520,6 +543,28 @@
 	return out
 }
 
+// publishable returns the map for the other hosts, with the change that touched
+// each range last. Earlier holders are the assigner's business alone.
+func (m *Machine) publishable() *keyrange.Map {
+	out := m.currentMap()
+	for i := range out.Tables {
+		before := m.published.Table(out.Tables[i].Service)
+		for j := range out.Tables[i].Ranges {
+			r := &out.Tables[i].Ranges[j]
+			r.Prior = nil
+			r.Changed = m.change
+			if before == nil || m.published.Version.Epoch != out.Version.Epoch {
+				continue
+			}
+			old := before.Find(r.From)
+			if old != nil && old.From == r.From && old.To == r.To && old.Granted == r.Granted && old.SameGrant(*r) {
+				r.Changed = old.Changed
+			}
+		}
+	}
+	return out
+}
+
 // record returns the record of the present ranges.
 func (m *Machine) record() Record {
 	rec := m.known
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
@@ -41,6 +42,7 @@
 	confirmEvery       = 300 * time.Millisecond
 	silenceBeforeClaim = 600 * time.Millisecond
 	rankDelay          = 80 * time.Millisecond
+	smallDelay         = 350 * time.Millisecond
 	hold               = 2200 * time.Millisecond
 	renewEvery         = 700 * time.Millisecond
 	settle             = 1800 * time.Millisecond
@@ -59,8 +61,11 @@
 type Config struct {
 	Self    assigner.Host
 	HoldMax time.Duration // longest grant that backend servers accept
-	Seeds   []string      // peer addresses to ask while no assigner is known
-	Clock   Clock
+	// Small says that this host has less power than others: it becomes the assigner
+	// only when none of those does.
+	Small bool
+	Seeds []string // peer addresses to ask while no assigner is known
+	Clock Clock
 }
 
 // Cluster is the control state of one entry host.
@@ -79,12 +84,13 @@
 	wait   sync.WaitGroup
 
 	// Owned by the control goroutine.
-	machine   *assigner.Machine
-	hosts     map[string]assigner.Host
-	rawConfig []byte
-	troubled  time.Duration // since when confirmations fail, 0 when they do not
-	stopping  bool
-	ledBefore bool
+	machine      *assigner.Machine
+	hosts        map[string]assigner.Host
+	hostsVersion uint64 // offset after the last registration that is known
+	rawConfig    []byte
+	troubled     time.Duration // since when confirmations fail, 0 when they do not
+	stopping     bool
+	ledBefore    bool
 
 	mu     sync.Mutex // guards report
 	report assigner.Report
@@ -127,6 +133,7 @@
 		ConfirmEvery:       confirmEvery,
 		SilenceBeforeClaim: silenceBeforeClaim,
 		RankDelay:          rankDelay,
+		ClaimDelay:         claimDelay(cfg.Small),
 		Hold:               min(hold, cfg.HoldMax),
 		HoldMax:            cfg.HoldMax,
 		RenewEvery:         renewEvery,
@@ -135,6 +142,13 @@
 	return c
 }
 
+func claimDelay(small bool) time.Duration {
+	if small {
+		return smallDelay
+	}
+	return 0
+}
+
 // View returns the newest view.
 func (c *Cluster) View() *View { return c.views.current.Load() }
 
@@ -325,6 +339,12 @@
 	if old != nil && !old.Version.Less(m.Version) {
 		return
 	}
+	if m.Base != nil {
+		if old == nil || old.Version != *m.Base {
+			return // the changes build on another map; the next answer tells more
+		}
+		m = old.Apply(m)
+	}
 	m.KeepGranted(old)
 	c.stats.MapChanges.Add(1)
 	c.views.change(func(v *View) { v.Owners = m })
@@ -371,8 +391,18 @@
 	c.tellMachine(c.View().Servers)
 }
 
+// hostList returns the registered hosts for others.
+func (c *Cluster) hostList() *hostlink.HostList {
+	out := &hostlink.HostList{Version: c.hostsVersion}
+	for _, h := range c.hosts {
+		out.Hosts = append(out.Hosts, h)
+	}
+	return out
+}
+
 // takeHosts adds registered hosts and sets the rank.
-func (c *Cluster) takeHosts(hosts []assigner.Host) {
+func (c *Cluster) takeHosts(hosts []assigner.Host, version uint64) {
+	c.hostsVersion = max(c.hostsVersion, version)
 	for _, h := range hosts {
 		c.hosts[h.Name] = h
 	}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -131,7 +131,7 @@
 			q.to = c.nextSeed(q.to)
 		}
 		v := c.View()
-		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds()), Asked: v.Asked}
+		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Changed, Report: report, Wait: int(syncWait.Milliseconds()), Asked: v.Asked, Hosts: c.hostsVersion}
 		if v.Owners != nil {
 			q.body.Map = v.Owners.Version
 		}
@@ -180,8 +180,9 @@
 	if a.Abandoned {
 		c.machine.Abandoned(now, a.Epoch)
 	}
-	if a.Servers != nil {
-		c.takeServers(a.Servers)
+	c.takeDirectory(a)
+	if a.Hosts != nil && a.Hosts.Version > c.hostsVersion {
+		c.takeHosts(a.Hosts.Hosts, a.Hosts.Version)
 	}
 	if a.Config != nil {
 		c.takeConfig(a.Config)
@@ -195,6 +196,19 @@
 	}
 }
 
+// takeDirectory takes a directory, or the changes to the one that is known.
+func (c *Cluster) takeDirectory(a *hostlink.Answer) {
+	if a.Servers != nil {
+		c.takeServers(a.Servers)
+	}
+	if a.Changes == nil {
+		return
+	}
+	if s := c.View().Servers.Apply(a.Changes); s != nil {
+		c.takeServers(s)
+	}
+}
+
 // Sync implements hostlink.Handler.
 func (c *Cluster) Sync(ctx context.Context, q *hostlink.Question) (*hostlink.Answer, error) {
 	deadline := time.Now().Add(time.Duration(q.Wait) * time.Millisecond)
@@ -205,7 +219,7 @@
 			return nil, err
 		}
 		left := time.Until(deadline)
-		if a.news() || !a.leads() || left <= 0 {
+		if a.news() || !a.Leads || left <= 0 {
 			return a.Answer, nil
 		}
 		q.Report = assigner.Report{}
@@ -254,9 +268,17 @@
 	v := c.View()
 	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
 		a.Map = v.Owners
+		if a.Leads {
+			a.Map = v.Owners.Since(q.Map)
+		}
 	}
 	if v.Servers.Changed > q.Servers {
-		a.Servers = v.Servers
+		if a.Changes = v.Servers.Since(q.Servers); a.Changes == nil {
+			a.Servers = v.Servers
+		}
+	}
+	if c.hostsVersion > q.Hosts {
+		a.Hosts = c.hostList()
 	}
 	if v.Routes != nil && v.Routes.Version > q.Config {
 		a.Config = c.rawConfig
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -14,26 +14,46 @@
 const (
 	// configWait is the length of a long poll for a configuration. With
 	// pollSlack it stays below the time in which a silent connection must show.
-	configWait = 2 * time.Second
+	configWait = time.Second
 	hostsWait  = 8 * time.Second
 	pollSlack  = 700 * time.Millisecond
 	// serversEvery is the pause between reads of the backend servers' entries.
 	serversEvery = 350 * time.Millisecond
-	// serversAlone is how long the assigner may be silent before a host reads
-	// the entries itself.
-	serversAlone = 700 * time.Millisecond
-	readTimeout  = 900 * time.Millisecond
+	// idleCheck is how often a follower looks whether it must read itself.
+	idleCheck = 200 * time.Millisecond
+	// readAlone is how long the assigner may be silent before a host reads the
+	// store itself.
+	readAlone   = 700 * time.Millisecond
+	readTimeout = 900 * time.Millisecond
+	// watchRetry is the first pause after a read that failed, watchLongest the
+	// longest.
 	watchRetry   = 250 * time.Millisecond
+	watchLongest = 900 * time.Millisecond
 	// outageGap is the time of failing reads that counts as an outage.
 	outageGap = 600 * time.Millisecond
 	// returnGrace is how long after an outage lapsed entries may still come back.
 	returnGrace = 2300 * time.Millisecond
 )
 
-// watchConfig keeps the configuration current.
+// backoff doubles the pause between attempts.
+type backoff time.Duration
+
+func (b *backoff) next() time.Duration {
+	*b = min(max(2**b, backoff(watchRetry)), backoff(watchLongest))
+	return time.Duration(*b)
+}
+
+// watchConfig keeps the configuration current while this host leads or hears no
+// assigner; otherwise the assigner tells it.
 func (c *Cluster) watchConfig() {
 	next, known := uint64(0), false
+	var pause backoff
 	for c.ctx.Err() == nil {
+		if !c.mustRead() {
+			known = false
+			c.sleep(idleCheck)
+			continue
+		}
 		var data []byte
 		var err error
 		if !known {
@@ -45,9 +65,10 @@
 		}
 		if err != nil {
 			c.noteStore("read the configuration", err)
-			c.sleep(watchRetry)
+			c.sleep(pause.next())
 			continue
 		}
+		pause = 0
 		if data != nil {
 			c.post(func() { c.takeConfig(data) })
 		}
@@ -70,21 +91,27 @@
 	return data, after, nil
 }
 
-// watchHosts registers this host and learns of the others.
+// watchHosts registers this host, and learns of the others while it leads.
 func (c *Cluster) watchHosts() {
 	registered, known := false, false
 	var next uint64
+	var pause backoff
 	for c.ctx.Err() == nil {
+		if registered && known && !c.mustRead() {
+			c.sleep(idleCheck)
+			continue
+		}
 		hosts, after, err := c.readHosts(&registered, known, next)
 		if err != nil {
 			c.noteStore("read the hosts", err)
 			known = known && fault.KindOf(err) != fault.LogGap
-			c.sleep(watchRetry)
+			c.sleep(pause.next())
 			continue
 		}
+		pause = 0
 		known, next = true, after
 		if len(hosts) > 0 {
-			c.post(func() { c.takeHosts(hosts) })
+			c.post(func() { c.takeHosts(hosts, after) })
 		}
 	}
 }
@@ -116,27 +143,32 @@
 // watchServers reads the entries while this host leads or hears no assigner.
 func (c *Cluster) watchServers() {
 	w := &serverWatch{snapshot: &directory.Snapshot{}, lapsed: map[string]bool{}}
+	var pause backoff
 	for c.ctx.Err() == nil {
-		if !c.mustReadServers() {
+		if !c.mustRead() {
 			w.loaded = false
 			c.sleep(serversEvery)
 			continue
 		}
 		if err := c.readServers(w); err != nil {
 			c.noteStore("read the backend servers", err)
-		} else {
-			s := w.snapshot
-			c.post(func() { c.takeServers(s) })
+			c.sleep(pause.next())
+			continue
 		}
+		pause = 0
+		s := w.snapshot
+		c.post(func() { c.takeServers(s) })
 		c.sleep(serversEvery)
 	}
 }
 
-func (c *Cluster) mustReadServers() bool {
+// mustRead reports whether this host reads the store itself: as the assigner, or
+// while it hears none.
+func (c *Cluster) mustRead() bool {
 	got := make(chan bool, 1)
 	c.post(func() {
 		now := c.cfg.Clock()
-		got <- c.machine.Leads(now) || c.machine.Silence(now) > serversAlone
+		got <- c.machine.Leads(now) || c.machine.Silence(now) > readAlone
 	})
 	select {
 	case yes := <-got:
--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -81,6 +81,8 @@
 		Peer:      s.Peer,
 		Metrics:   s.Metrics,
 		Seeds:     s.Seeds,
+		CPU:       s.CPU,
+		LinkMbps:  s.LinkMbps,
 		StopGrace: s.StopGrace,
 		HoldMax:   s.HoldMax,
 		Gateway: gateway.Config{
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,8 +33,8 @@
 // Change is one record about a server. A nil Server means that the entry is
 // gone or names no server that can be used.
 type Change struct {
-	ID     string
-	Server *Server
+	ID     string  `json:"id"`
+	Server *Server `json:"server,omitempty"`
 }
 
 // Snapshot is the directory as of an offset. It is immutable.
@@ -44,6 +44,51 @@
 	// Changed is the offset after the last record that changed more than a
 	// server's remaining cold time.
 	Changed uint64 `json:"changed"`
+
+	recent []stamped // the last changes, oldest first
+	oldest uint64    // recent holds every change after this offset
+}
+
+// recentChanges bounds the changes that a snapshot remembers.
+const recentChanges = 400
+
+// stamped is a change with the value of Changed that it led to.
+type stamped struct {
+	at     uint64
+	change Change
+}
+
+// Delta is what has changed since an earlier snapshot.
+type Delta struct {
+	Base    uint64   `json:"base"` // Changed of the earlier snapshot
+	Next    uint64   `json:"next"`
+	Changed uint64   `json:"changed"`
+	Changes []Change `json:"changes"`
+}
+
+// Since returns what has changed since the snapshot with an earlier value of
+// Changed, or nil when that is not remembered.
+func (s *Snapshot) Since(base uint64) *Delta {
+	if base == 0 || base < s.oldest {
+		return nil
+	}
+	d := &Delta{Base: base, Next: s.Next, Changed: s.Changed}
+	for _, r := range s.recent {
+		if r.at > base {
+			d.Changes = append(d.Changes, r.change)
+		}
+	}
+	return d
+}
+
+// Apply returns the snapshot after d, or nil when d builds on another one.
+func (s *Snapshot) Apply(d *Delta) *Snapshot {
+	if d.Base != s.Changed {
+		return nil
+	}
+	out := s.Fold(d.Changes, max(d.Next, s.Next))
+	out.Changed = d.Changed
+	return out
 }
 
 // Find returns the server with an id, or nil.
@@ -67,23 +112,34 @@
 	for _, v := range s.Servers {
 		servers[v.Holder.ID] = v
 	}
-	out := &Snapshot{Next: next, Changed: s.Changed}
+	out := &Snapshot{Next: next, Changed: s.Changed, recent: s.recent, oldest: s.oldest}
 	for _, c := range changes {
 		if apply(servers, c) {
-			out.Changed = next
+			// A lapse that is applied late has no record of its own.
+			out.Changed = max(next, out.Changed+1)
+			out.remember(stamped{out.Changed, c})
 		}
 	}
 	out.Servers = sorted(servers)
 	return out
 }
 
+// remember keeps a change among the recent ones.
+func (s *Snapshot) remember(c stamped) {
+	s.recent = append(s.recent[:len(s.recent):len(s.recent)], c)
+	if extra := len(s.recent) - recentChanges; extra > 0 {
+		s.oldest = s.recent[extra-1].at
+		s.recent = s.recent[extra:]
+	}
+}
+
 // Reload returns the snapshot that holds exactly the given servers.
 func (s *Snapshot) Reload(all []Change, next uint64) *Snapshot {
 	servers := make(map[string]Server, len(all))
 	for _, c := range all {
 		apply(servers, c)
 	}
-	return &Snapshot{Next: next, Changed: next, Servers: sorted(servers)}
+	return &Snapshot{Next: next, Changed: next, Servers: sorted(servers), oldest: next}
 }
 
 // Keep adds the servers of old that s lacks, for the time after an outage in
@@ -96,7 +152,7 @@
 	for _, v := range s.Servers {
 		servers[v.Holder.ID] = v
 	}
-	return &Snapshot{Next: s.Next, Changed: s.Changed, Servers: sorted(servers)}
+	return &Snapshot{Next: s.Next, Changed: s.Changed, Servers: sorted(servers), recent: s.recent, oldest: s.oldest}
 }
 
 // apply reports whether c changed more than the remaining cold time.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,11 +53,25 @@
 	Peer      string
 	Metrics   string
 	Seeds     []string      // peer addresses to ask while the store does not answer
+	CPU       float64       // share of a core; 0 means unknown
+	LinkMbps  float64       // 0 means unknown
 	StopGrace time.Duration // from the stop signal to the kill
 	HoldMax   time.Duration // longest grant that backend servers accept
 	Gateway   gateway.Config
 }
 
+// A host below either figure becomes the assigner only when no other does: the
+// assigner talks to every host and every backend server.
+const (
+	assignerCPU  = 0.25 // share of a core
+	assignerLink = 50.0 // Mbit/s
+)
+
+// small reports whether the host suits less as the assigner.
+func (o Options) small() bool {
+	return o.CPU > 0 && o.CPU < assignerCPU || o.LinkMbps > 0 && o.LinkMbps < assignerLink
+}
+
 // Host is a running entry host.
 type Host struct {
 	opts    Options
@@ -86,7 +100,7 @@
 	}
 	self := assigner.Host{Name: opts.Host, Incarnation: hex.EncodeToString(b), Peer: opts.Peer}
 	logger = logger.With(zap.String("host", opts.Host))
-	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds}, store, backends, hostlink.NewPool(), logger)
+	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds, Small: opts.small()}, store, backends, hostlink.NewPool(), logger)
 	g := gateway.New(opts.Gateway, c, logger)
 	h := &Host{opts: opts, logger: logger.Named("edge"), cluster: c, gateway: g}
 	h.traffic = &http.Server{Handler: g, ErrorLog: zap.NewStdLog(logger.Named("http"))}
--- a/gateway/decisions_test.go
+++ b/gateway/decisions_test.go
@@ -129,12 +129,12 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	count := map[string]int{}
 	for range 2000 {
-		count[choose(list, time.Now(), "a", r.IntN).Holder.ID]++
+		count[choose(list, time.Now(), origin{domain: "a"}, r.IntN).Holder.ID]++
 	}
 	require.Less(t, count["slow"], 40)
 	require.Less(t, count["bad"], 40)
 	require.Positive(t, count["slow"]+count["bad"])
-	require.Nil(t, choose(nil, time.Now(), "a", r.IntN))
+	require.Nil(t, choose(nil, time.Now(), origin{domain: "a"}, r.IntN))
 }
 
 func TestChoicePrefersTheOwnDomain(t *testing.T) {
@@ -142,7 +142,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	here := 0
 	for range 1000 {
-		if choose(list, time.Now(), "a", r.IntN).Holder.ID == "here" {
+		if choose(list, time.Now(), origin{domain: "a"}, r.IntN).Holder.ID == "here" {
 			here++
 		}
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -81,7 +81,7 @@
 	if len(q.tried) >= q.route.Attempts || len(list) == 0 {
 		list = again
 	}
-	s := choose(list, time.Now(), g.cfg.Domain, randomIndex)
+	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
 	if s == nil {
 		return nil, notRun(fault.NoOwner, "the service has no backend server", retryOther)
 	}
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -37,6 +37,7 @@
 	Map     keyrange.Version `json:"map"`
 	Servers uint64           `json:"servers"` // Snapshot.Changed of the known directory
 	Config  uint64           `json:"config"`  // version of the known configuration
+	Hosts   uint64           `json:"hosts"`   // version of the known list of hosts
 	Report  assigner.Report  `json:"report"`
 	Asked   uint64           `json:"asked"` // number of the last question about suspects
 	// Wait is how long the answer may wait for news, in milliseconds.
@@ -52,9 +53,18 @@
 	Abandoned bool                `json:"abandoned,omitempty"`
 	Map       *keyrange.Map       `json:"map,omitempty"`
 	Servers   *directory.Snapshot `json:"servers,omitempty"`
-	Config    []byte              `json:"config,omitempty"` // as the store keeps it
-	Suspects  []assigner.Suspect  `json:"suspects,omitempty"`
-	Asked     uint64              `json:"asked,omitempty"`
+	// Changes of the directory are told instead of Servers where they suffice.
+	Changes  *directory.Delta   `json:"changes,omitempty"`
+	Hosts    *HostList          `json:"hosts,omitempty"`
+	Config   []byte             `json:"config,omitempty"` // as the store keeps it
+	Suspects []assigner.Suspect `json:"suspects,omitempty"`
+	Asked    uint64             `json:"asked,omitempty"`
+}
+
+// HostList is the registered entry hosts as of a version.
+type HostList struct {
+	Version uint64          `json:"version"`
+	Hosts   []assigner.Host `json:"hosts"`
 }
 
 // Call is a grant or a release that another host makes, because the assigner
--- a/keyrange/keyrange.go
+++ b/keyrange/keyrange.go
@@ -38,6 +38,8 @@
 	// Granted reports that the owner has accepted the grant. It is told among
 	// hosts and means nothing in a record of the store.
 	Granted bool `json:"granted,omitempty"`
+	// Changed is the change of the assigner's epoch that touched the range last.
+	Changed uint64 `json:"-"`
 }
 
 // Contains reports whether k lies in r.
@@ -75,10 +77,67 @@
 	return v.Epoch < w.Epoch || v.Epoch == w.Epoch && v.Change < w.Change
 }
 
-// Map is the assignment of every sharded service.
+// Map is the assignment of every sharded service, or with Base only the ranges
+// that have changed since then.
 type Map struct {
-	Version Version `json:"version"`
-	Tables  []Table `json:"tables"`
+	Version Version  `json:"version"`
+	Base    *Version `json:"base,omitempty"`
+	Tables  []Table  `json:"tables"`
+}
+
+// Since returns the ranges that have changed since an earlier version of the same
+// epoch, or m itself when base is of another epoch.
+func (m *Map) Since(base Version) *Map {
+	if base.Epoch != m.Version.Epoch || base.Change == 0 {
+		return m
+	}
+	out := &Map{Version: m.Version, Base: &base}
+	for _, t := range m.Tables {
+		changed := Table{Service: t.Service}
+		for _, r := range t.Ranges {
+			if r.Changed > base.Change {
+				changed.Ranges = append(changed.Ranges, r)
+			}
+		}
+		if len(changed.Ranges) > 0 {
+			out.Tables = append(out.Tables, changed)
+		}
+	}
+	return out
+}
+
+// Apply returns m with the changed ranges of delta in place of those that they
+// cover.
+func (m *Map) Apply(delta *Map) *Map {
+	out := m.Clone()
+	out.Version = delta.Version
+	for _, t := range delta.Tables {
+		old := out.Table(t.Service)
+		if old == nil {
+			out.Tables = append(out.Tables, t)
+			continue
+		}
+		old.Ranges = overlay(old.Ranges, t.Ranges)
+	}
+	return out
+}
+
+// overlay replaces the old ranges that changed ones overlap. Together the changed
+// ranges cover all keys of each range that they replace.
+func overlay(old, changed []Range) []Range {
+	out := make([]Range, 0, len(old)+len(changed))
+	next := 0
+	for _, r := range old {
+		for next < len(changed) && changed[next].From <= r.To {
+			out = append(out, changed[next])
+			next++
+		}
+		if n := len(out); n > 0 && out[n-1].To >= r.From {
+			continue // covered
+		}
+		out = append(out, r)
+	}
+	return append(out, changed[next:]...)
 }
 
 // Table returns the table of a service, or nil.
