--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -172,6 +172,8 @@
 	c.cancel()
 	c.wait.Wait()
 	c.peers.Close()
+	c.store.Close()
+	c.backends.Close()
 }
 
 // Resign hands the epoch on before a planned stop.
--- a/cluster/ports.go
+++ b/cluster/ports.go
@@ -49,6 +49,8 @@
 	AllHosts(ctx context.Context) (hosts []assigner.Host, next uint64, err error)
 	// ReadHosts waits for registrations after an offset.
 	ReadHosts(ctx context.Context, from uint64, wait time.Duration) (hosts []assigner.Host, next uint64, err error)
+	// Close closes idle connections.
+	Close()
 }
 
 // Peers carries messages to other entry hosts.
@@ -64,4 +66,6 @@
 	Release(ctx context.Context, addr string, r keyrange.Range) (handover string, result assigner.CallResult, err error)
 	// Try connects and tells by its error whether a process listens at an address.
 	Try(ctx context.Context, addr string) error
+	// Close closes idle connections.
+	Close()
 }
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -460,6 +460,12 @@
 	return "state", assigner.CallOK, nil
 }
 
+// Close implements Backends.
+func (w *world) Close() {}
+
+// Close implements Store.
+func (s storeOf) Close() {}
+
 // Try implements Backends.
 func (w *world) Try(ctx context.Context, addr string) error {
 	if err := sleepCtx(ctx, 2*hop); err != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -82,6 +83,7 @@
 	ready   *http.Server
 	metrics *http.Server
 	stop    context.CancelFunc
+	running sync.WaitGroup
 }
 
 // Module is the fx module of an entry host. It needs Options, cluster.Store,
@@ -122,15 +124,15 @@
 		return err
 	}
 	h.cluster.Start()
-	go h.report("serve other hosts", func() error { return hostlink.Serve(ctx, peers, h.cluster) })
-	go h.serveTraffic(ctx, traffic)
+	h.spawn(func() { h.report("serve other hosts", func() error { return hostlink.Serve(ctx, peers, h.cluster) }) })
+	h.spawn(func() { h.serveTraffic(ctx, traffic) })
 	if err := h.serve(h.ready, h.opts.Readiness); err != nil {
 		return err
 	}
 	if err := h.serve(h.metrics, h.opts.Metrics); err != nil {
 		return err
 	}
-	go h.sweep(ctx)
+	h.spawn(func() { h.sweep(ctx) })
 	h.logger.Info("edge: started", zap.String("traffic", h.opts.Traffic), zap.String("peer", h.opts.Peer))
 	return nil
 }
@@ -148,10 +150,19 @@
 	if err != nil {
 		return err
 	}
-	go h.report("serve "+addr, func() error { return s.Serve(lis) })
+	h.spawn(func() { h.report("serve "+addr, func() error { return s.Serve(lis) }) })
 	return nil
 }
 
+// spawn runs f beside, until the host has stopped.
+func (h *Host) spawn(f func()) {
+	h.running.Add(1)
+	go func() {
+		defer h.running.Done()
+		f()
+	}()
+}
+
 // report logs why a server ended, unless it was closed.
 func (h *Host) report(what string, f func() error) {
 	if err := f(); err != nil && err != http.ErrServerClosed {
@@ -226,6 +237,10 @@
 	}
 	h.stop()
 	h.cluster.Stop()
+	_ = h.ready.Close()   // nobody needs the answers of these two
+	_ = h.metrics.Close() // any more
+	h.gateway.Shutdown()
+	h.running.Wait()
 	h.logger.Info("edge: stopped", zap.Duration("took", time.Since(begin)))
 	return nil
 }
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,203 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/edge"
+	"github.com/lacewingsaddle/lacewingsaddle/gateway"
+	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
+)
+
+// patience bounds the waits of the tests; nothing is measured by it.
+const patience = time.Minute
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// deployment is a store, backend servers and entry hosts on loopback addresses.
+type deployment struct {
+	t        *testing.T
+	store    *platformtest.Store
+	storeURL string
+	backends []*platformtest.Backend
+	hosts    []*edge.Host
+	opts     []edge.Options
+	client   *http.Client
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func newDeployment(t *testing.T, hosts, backends int) *deployment {
+	d := &deployment{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(d.store.Close)
+	t.Cleanup(d.client.CloseIdleConnections)
+	d.storeURL = strings.TrimPrefix(server.URL, "http://")
+	for i := range backends {
+		b := platformtest.NewBackend(fmt.Sprintf("i-%d", i))
+		s := httptest.NewServer(b)
+		t.Cleanup(s.Close)
+		d.backends = append(d.backends, b)
+		entry := `{"address":%q,"born":1,"info":{"service":"stock","zone":"north","slots":3},"status":{"state":"ready","seq":1}}`
+		d.store.Put("keyed.servers", b.ID, fmt.Appendf(nil, entry, strings.TrimPrefix(s.URL, "http://")))
+	}
+	d.configure(1, "/x/")
+	for i := range hosts {
+		d.start(fmt.Sprintf("h%d", i))
+	}
+	return d
+}
+
+// configure publishes a version whose one route has a prefix.
+func (d *deployment) configure(version int, prefix string) {
+	const text = `{"config_version":%d,"routes":[{"name":"r","host":"shop.example","path_prefix":%q,"kind":"non_idempotent",
+		"timeout_s":5,"target_latency_s":1,"service":"stock","max_attempts":2}],
+		"services":[{"name":"stock","sharded":true,"max_conns":100}],"limits":{"idle_timeout_s":15,"header_timeout_s":3}}`
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, text, version, prefix))
+}
+
+func (d *deployment) start(name string) *edge.Host {
+	opts := edge.Options{
+		Host: name, Traffic: freeAddress(d.t), Readiness: freeAddress(d.t), Peer: freeAddress(d.t), Metrics: freeAddress(d.t),
+		StopGrace: 6 * time.Second, HoldMax: 10 * time.Second,
+		Gateway: gateway.Config{
+			Domain: "north", Headers: platform.Headers(),
+			Budget: gateway.BudgetRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		},
+	}
+	h, err := edge.New(opts, platform.NewStore(d.storeURL), platform.NewBackends(), zap.NewNop())
+	require.NoError(d.t, err)
+	require.NoError(d.t, h.Start(context.Background()))
+	d.hosts = append(d.hosts, h)
+	d.opts = append(d.opts, opts)
+	return h
+}
+
+// stop ends all hosts as planned, at the same time.
+func (d *deployment) stop() {
+	done := make(chan error, len(d.hosts))
+	for _, h := range d.hosts {
+		go func() { done <- h.Stop(context.Background()) }()
+	}
+	for range d.hosts {
+		require.NoError(d.t, <-done)
+	}
+}
+
+func (d *deployment) ready(i int) bool {
+	resp, err := d.client.Get("http://" + d.opts[i].Readiness + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // only the status counts
+	return resp.StatusCode == http.StatusOK
+}
+
+// send sends a request to a host and returns status and body.
+func (d *deployment) send(i int, path, id, key string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.opts[i].Traffic+path, strings.NewReader("body"))
+	require.NoError(d.t, err)
+	req.Host = "shop.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Shard-Key", key)
+	req.Header.Set("Deadline-Ms", "5000")
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(d.t, err)
+	return resp.StatusCode, string(body)
+}
+
+// eventually sends requests with new ids until one is answered.
+func (d *deployment) eventually(i int, path, key string) {
+	n := 0
+	require.Eventually(d.t, func() bool {
+		n++
+		status, _ := d.send(i, path, fmt.Sprintf("%s-%d-%d", key, i, n), key)
+		return status == http.StatusOK
+	}, patience, 50*time.Millisecond)
+}
+
+// The whole path over real connections: hosts start, one assigns the keys, every
+// host serves; a configuration takes effect; hosts stop as planned.
+func TestWholePath(t *testing.T) {
+	d := newDeployment(t, 3, 4)
+	defer d.stop()
+	for i := range d.hosts {
+		require.Eventually(t, func() bool { return d.ready(i) }, patience, 50*time.Millisecond)
+		for _, key := range []string{"0", "20000", "40000", "65535"} {
+			d.eventually(i, "/x/1", key)
+		}
+	}
+	status, body := d.send(0, "/x/1", "once", "7")
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, "ran once body")
+	runs := 0
+	for _, b := range d.backends {
+		runs += b.Runs("once")
+	}
+	require.Equal(t, 1, runs)
+	status, _ = d.send(1, "/y/1", "none", "7")
+	require.Equal(t, http.StatusNotFound, status)
+	d.configure(2, "/y/")
+	for i := range d.hosts {
+		d.eventually(i, "/y/1", "7")
+	}
+	resp, err := d.client.Get("http://" + d.opts[0].Metrics + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "entry_hosts 3")
+}
+
+// One host stops as planned, and the others go on; a new one takes part.
+func TestHostsComeAndGo(t *testing.T) {
+	d := newDeployment(t, 3, 3)
+	defer d.stop()
+	for i := range d.hosts {
+		d.eventually(i, "/x/1", "9")
+	}
+	require.NoError(t, d.hosts[0].Stop(context.Background()))
+	d.hosts, d.opts = d.hosts[1:], d.opts[1:]
+	for i := range d.hosts {
+		d.eventually(i, "/x/1", "9")
+	}
+	d.start("h9")
+	d.eventually(len(d.hosts)-1, "/x/1", "50000")
+}
+
+// Hosts go on while the store is away.
+func TestStoreAway(t *testing.T) {
+	d := newDeployment(t, 2, 3)
+	defer d.stop()
+	for i := range d.hosts {
+		d.eventually(i, "/x/1", "9")
+	}
+	d.store.SetFault(platformtest.Down)
+	d.eventually(0, "/x/1", "9")
+	d.store.SetFault(platformtest.Sound)
+	d.eventually(1, "/x/1", "60000")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 // Close makes the gateway refuse new requests; those that are being handled go on.
 func (g *Gateway) Close() { g.closed.Store(true) }
 
+// Shutdown closes the connections to backend servers.
+func (g *Gateway) Shutdown() { g.servers.close() }
+
 // Active returns the number of requests that are being handled.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -126,6 +126,15 @@
 	}
 }
 
+// close closes every idle connection.
+func (s *servers) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.all {
+		v.conns.Close()
+	}
+}
+
 // connectionLimit is this host's share of a server's connections.
 func connectionLimit(maxConns, hosts int) int {
 	if maxConns <= 0 {
