assigner, hostlink, directory: a takeover at 59 hosts has little to tell

Each new one sent 59 whole maps and directories (70 KB each) and 400 grants at once over a 10 Mbit/s link, answered nobody in time, and the next host claimed. Placement has tests that replay hot neighbours, losses, new and slow servers.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -18,7 +18,6 @@
 package assigner
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -70,6 +69,12 @@
 	// followed.
 	firstAlonePause   = 6 * time.Second
 	longestAlonePause = 15 * time.Second
+	// takeoverTime is how long a new assigner may need to answer every host.
+	takeoverTime = 400 * time.Millisecond
+	// grantPause is the pause between the first grants of a new assigner, and
+	// grantSpread bounds the time for all.
+	grantPause  = time.Millisecond
+	grantSpread = 400 * time.Millisecond
 	// slowStore is how long a confirmation may take before grants are lengthened.
 	slowStore = 250 * time.Millisecond
 	// planEvery is the pause between plans.
@@ -340,7 +345,7 @@
 	}
 	other := rec.Assigner.Name != "" && rec.Assigner.Name != m.cfg.Self.Name
 	if other && (first || newer) {
-		m.heardAt = now // another assigner was found: give it time to answer
+		m.heardAt = now + takeoverTime // another assigner was found: give it time to answer
 		m.publishRecorded(rec)
 		return
 	}
@@ -401,21 +406,33 @@
 	m.append(rec)
 }
 
-// renumbered gives every range a new token. Once its owner has answered a grant
-// under it, grants of earlier assigners no longer count there.
+// renumbered gives every range a new token and joins neighbours with the same
+// owner. Once its owner has answered a grant under the new token, grants of earlier
+// assigners no longer count there.
 func renumbered(tables []keyrange.Table, fences *keyrange.Fence) []keyrange.Table {
 	out := make([]keyrange.Table, 0, len(tables))
 	for _, t := range tables {
-		ranges := slices.Clone(t.Ranges)
-		for i := range ranges {
+		var ranges []keyrange.Range
+		for _, r := range t.Ranges {
+			if n := len(ranges); n > 0 && joinable(ranges[n-1], r) {
+				ranges[n-1].To = r.To
+				continue
+			}
 			*fences++
-			ranges[i].Fence = *fences
+			r.Fence = *fences
+			ranges = append(ranges, r)
 		}
 		out = append(out, keyrange.Table{Service: t.Service, Ranges: ranges})
 	}
 	return out
 }
 
+// joinable reports whether b may become part of a: the same owner has both, and
+// nobody else can hold either.
+func joinable(a, b keyrange.Range) bool {
+	return a.Owner == b.Owner && int(a.To)+1 == int(b.From) && len(a.Prior) == 0 && len(b.Prior) == 0
+}
+
 func (m *Machine) append(rec Record) {
 	m.pending = &rec
 	m.storeBusy = true
@@ -473,11 +490,16 @@
 	if m.omit.takeoverWait {
 		bound = now
 	}
+	total := 0
+	for _, t := range m.known.Tables {
+		total += len(t.Ranges)
+	}
 	for _, t := range m.known.Tables {
 		for _, r := range t.Ranges {
 			r.Granted = false
 			s := newRangeState(t.Service, r, bound, now-restTime)
 			s.unproven = true
+			s.nextGrant = now + time.Duration(len(m.ranges))*min(grantPause, grantSpread/time.Duration(total))
 			m.ranges = append(m.ranges, s)
 		}
 	}
@@ -669,7 +691,8 @@
 	m.dirty = true
 }
 
-// inherit builds the state of a recorded range from the ranges it was cut from.
+// inherit builds the state of a recorded range from the ranges that it was cut
+// from or joined of.
 func inherit(now Time, old []*rangeState, service string, r keyrange.Range) *rangeState {
 	i := sort.Search(len(old), func(i int) bool {
 		return old[i].service > service || old[i].service == service && old[i].To >= r.From
@@ -677,19 +700,22 @@
 	if i == len(old) || old[i].service != service || !old[i].Contains(r.From) {
 		return newRangeState(service, r, 0, now)
 	}
-	src := old[i]
-	if src.SameGrant(r) {
+	if src := old[i]; src.SameGrant(r) {
 		out := *src
 		out.From, out.To = r.From, r.To
-		out.Prior = r.Prior
 		out.calls = nil
 		return &out
 	}
-	bound := src.heldUntil
-	if len(src.Prior) > 0 {
-		bound = max(bound, src.freeAt)
+	bound := Time(0)
+	for ; i < len(old) && old[i].service == service && old[i].From <= r.To; i++ {
+		bound = max(bound, old[i].heldUntil)
+		if len(old[i].Prior) > 0 {
+			bound = max(bound, old[i].freeAt)
+		}
 	}
 	s := newRangeState(service, r, bound, now)
-	s.heldUntil = 0
+	if s.unproven = len(r.Prior) == 0; !s.unproven {
+		s.heldUntil = 0 // the new owner has been granted nothing yet
+	}
 	return s
 }
--- a/assigner/model_world_test.go
+++ b/assigner/model_world_test.go
@@ -179,12 +179,29 @@
 		for _, other := range w.hosts {
 			w.start(other)
 		}
+	case 13:
+		w.oversleep(h, s)
 	case 12:
 		w.born++
 		w.servers[s].restart(w.born, w.now)
 	}
 }
 
+// oversleep pauses a host beyond every hold, while only it reaches a server: the
+// host wakes and believes that its lease still runs.
+func (w *world) oversleep(h *modelHost, s int) {
+	long := 3*time.Second + time.Duration(w.pick(100))*modelStep
+	h.paused = w.now + long
+	if w.asleep {
+		h.slept += long
+	}
+	for _, other := range w.hosts {
+		if other != h {
+			other.cut[s] = h.paused + time.Second
+		}
+	}
+}
+
 // tell gives a host the directory, late now and then, and some load.
 func (w *world) tell(h *modelHost) {
 	if w.calm || w.chance(20) {
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -13,6 +13,10 @@
 const (
 	// restTime is how long a range stays after a move for the sake of balance.
 	restTime = 1500 * time.Millisecond
+	// shortRest is that time at a server whose load lies overloaded times above
+	// the mean.
+	shortRest  = 300 * time.Millisecond
+	overloaded = 1.7
 	// movesPerPlan bounds the moves for the sake of balance in one plan.
 	movesPerPlan = 6
 	// movingAtOnce bounds the ranges that are not granted while balance is sought.
@@ -28,6 +32,13 @@
 	// uniformShare is the share of the weight that is spread evenly over all
 	// keys, for keys that no request has asked for yet.
 	uniformShare = 0.15
+	// rangesPerServer is the number of ranges for each server from which
+	// neighbours are joined.
+	rangesPerServer = 3
+	// absorbPerPlan bounds the ranges that neighbours' owners take over in one plan.
+	absorbPerPlan = 4
+	// smallShare is the share of a server's fair load below which a range is small.
+	smallShare = 0.15
 	// orphanPieces is the number of pieces into which a fair share of orphaned
 	// load is cut.
 	orphanPieces = 3
@@ -49,7 +60,7 @@
 	nodes   []*node
 	byID    map[keyrange.Holder]*node
 	ranges  []planned
-	moves   int
+	mean    float64 // load for each unit of capacity
 	changed bool
 }
 
@@ -76,6 +87,8 @@
 		p.placeOrphans()
 		if m.moving(name) < movingAtOnce {
 			p.balance(now)
+			p.absorb(now)
+			p.join()
 		}
 		if p.changed {
 			changed = true
@@ -230,10 +243,7 @@
 
 // spreadEvenly makes the first assignment: one span for each server, by capacity.
 func (p *servicePlan) spreadEvenly() {
-	sum := 0.0
-	for _, n := range p.nodes {
-		sum += n.capacity
-	}
+	sum := p.capacity()
 	var out []planned
 	from, done := 0, 0.0
 	for i, n := range p.nodes {
@@ -308,21 +318,26 @@
 // balance moves load from the fullest servers to the emptiest. It answers a
 // load that gathers on a few neighbouring keys, and servers of unequal speed.
 func (p *servicePlan) balance(now Time) {
+	p.mean = p.weights.total / p.capacity()
 	if p.weights.seen < smallestLoad*float64(len(p.nodes)) || len(p.nodes) < 2 {
 		return
 	}
-	capacity := 0.0
-	for _, n := range p.nodes {
-		capacity += n.capacity
-	}
-	mean := p.weights.total / capacity
 	for range movesPerPlan {
-		if !p.moveOne(now, mean) {
+		if !p.moveOne(now, p.mean) {
 			return
 		}
 	}
 }
 
+// capacity returns the capacity of all servers together.
+func (p *servicePlan) capacity() float64 {
+	sum := 0.0
+	for _, n := range p.nodes {
+		sum += n.capacity
+	}
+	return sum
+}
+
 // moveOne makes the most useful move and reports whether there was one.
 func (p *servicePlan) moveOne(now Time, mean float64) bool {
 	sort.SliceStable(p.nodes, func(i, j int) bool { return p.nodes[i].use() > p.nodes[j].use() })
@@ -345,13 +360,17 @@
 
 // shift moves about amount of load from hot to cold.
 func (p *servicePlan) shift(now Time, hot, cold *node, amount float64) bool {
+	rest := restTime
+	if hot.use() > overloaded*p.mean {
+		rest = shortRest
+	}
 	best := -1
 	for i := range p.ranges {
 		r := &p.ranges[i]
 		if r.owner != hot || r.Fence == 0 || r.state == nil || !r.state.Granted {
 			continue
 		}
-		if now-r.state.movedAt < restTime || r.load <= amount*0.2 {
+		if now-r.state.movedAt < rest || r.load <= amount*0.2 {
 			continue
 		}
 		if best < 0 || closer(r.load, p.ranges[best].load, amount) {
@@ -363,7 +382,8 @@
 	}
 	r := p.ranges[best]
 	if r.load <= amount*1.2 {
-		p.give(&p.ranges[best], cold)
+		to := p.neighbour(best-1, r.load, p.neighbour(best+1, r.load, cold))
+		p.give(&p.ranges[best], to)
 		return true
 	}
 	return p.cutAndGive(best, cold, amount)
@@ -391,8 +411,10 @@
 	var keep, move planned
 	if int(low)-int(r.From) <= int(r.To)-int(high) {
 		move, keep = p.split(r, low)
+		n = p.neighbour(i-1, move.load, n)
 	} else {
 		keep, move = p.split(r, high)
+		n = p.neighbour(i+1, move.load, n)
 	}
 	if move.load <= 0 || move.load > 2*amount+1 && move.load > r.load*0.9 {
 		return false
@@ -404,6 +426,68 @@
 	return true
 }
 
+// join makes one range of neighbours that one server holds, when there are many
+// ranges: each costs a renewal every time. The server needs a new token for it,
+// but keeps what it holds.
+func (p *servicePlan) join() {
+	if len(p.ranges) <= rangesPerServer*len(p.nodes) {
+		return
+	}
+	out := p.ranges[:1]
+	for _, r := range p.ranges[1:] {
+		last := &out[len(out)-1]
+		if last.settled() && r.settled() && joinable(last.Range, r.Range) {
+			last.To = r.To
+			last.load += r.load
+			last.Fence = 0
+			p.changed = true
+			continue
+		}
+		out = append(out, r)
+	}
+	p.ranges = out
+}
+
+// absorb gives ranges with little load to the owner of a neighbour, when there are
+// many ranges, so that they can be joined.
+func (p *servicePlan) absorb(now Time) {
+	if len(p.ranges) <= rangesPerServer*len(p.nodes) {
+		return
+	}
+	fair := p.weights.total / float64(len(p.nodes))
+	for i, left := 1, absorbPerPlan; i < len(p.ranges) && left > 0; i++ {
+		r := &p.ranges[i]
+		to := p.ranges[i-1].owner
+		if !r.settled() || r.Fence == 0 || now-r.state.movedAt < restTime || to == nil || to == r.owner {
+			continue
+		}
+		if r.load > smallShare*fair || to.load+r.load > imbalance*p.mean*to.capacity {
+			continue
+		}
+		p.give(r, to)
+		left--
+	}
+}
+
+// settled reports whether the range is granted to its owner as it is, or has just
+// been joined of such ranges.
+func (r *planned) settled() bool {
+	return r.state != nil && r.state.Granted && r.owner != nil && r.Owner == r.state.Owner
+}
+
+// neighbour returns the owner of range i if it has room for load, else n. Ranges
+// side by side at one server can be joined.
+func (p *servicePlan) neighbour(i int, load float64, n *node) *node {
+	if i < 0 || i >= len(p.ranges) {
+		return n
+	}
+	owner := p.ranges[i].owner
+	if owner == nil || owner.load+load > p.mean*owner.capacity {
+		return n
+	}
+	return owner
+}
+
 // number gives every moved range the next fencing token.
 func (p *servicePlan) number(fences *keyrange.Fence, reuse bool) {
 	for i := range p.ranges {
--- /dev/null
+++ b/assigner/plan_test.go
@@ -0,0 +1,265 @@
+package assigner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// calm is a machine that leads servers that answer at once.
+type calm struct {
+	m   *Machine
+	now Time
+	end uint64
+}
+
+func newCalm(servers int, slots func(i int) int) *calm {
+	c := &calm{now: time.Hour}
+	c.m = New(Config{
+		Self: Host{Name: "h"}, Lease: time.Second, ConfirmEvery: 300 * time.Millisecond,
+		Hold: 2 * time.Second, HoldMax: 10 * time.Second, RenewEvery: 700 * time.Millisecond,
+	}, c.now)
+	c.list(servers, slots)
+	return c
+}
+
+func (c *calm) list(servers int, slots func(i int) int) {
+	s := &directory.Snapshot{}
+	for i := range servers {
+		id := fmt.Sprintf("s%03d", i)
+		s.Servers = append(s.Servers, directory.Server{
+			Holder: keyrange.Holder{ID: id, Born: 1}, Service: "stock", Address: id, Slots: slots(i), State: directory.Ready,
+		})
+	}
+	c.m.SetServers(c.now, Servers{Snapshot: s, Sharded: []string{"stock"}})
+}
+
+// run advances the time; every call succeeds at once.
+func (c *calm) run(d time.Duration) {
+	for end := c.now + d; c.now < end; c.now += 10 * time.Millisecond {
+		c.m.Tick(c.now)
+		for _, a := range c.m.Ready() {
+			switch a := a.(type) {
+			case Load:
+				c.m.StepLoaded(c.now, Loaded{Start: c.now, End: c.end})
+			case Confirm:
+				c.m.StepConfirmed(c.now, Confirmed{Start: c.now, End: c.end})
+			case Append:
+				c.end++
+				c.m.StepAppended(c.now, Appended{Start: c.now, End: c.end})
+			case Grant:
+				c.m.StepGranted(c.now, Granted{Service: a.Service, Range: a.Range})
+			case Release:
+				c.m.StepReleased(c.now, Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Handover: "h"})
+			}
+		}
+	}
+}
+
+// load sends requests a second for d, with keys by draw.
+func (c *calm) load(d time.Duration, perSecond int, draw func() keyrange.Key) {
+	const step = 100 * time.Millisecond
+	for range int(d / step) {
+		var r Report
+		for range perSecond / 10 {
+			r.Keys = append(r.Keys, KeyLoad{Service: "stock", Key: draw(), Count: 1})
+		}
+		c.m.AddReport(c.now, "h", r)
+		c.run(step)
+	}
+}
+
+// imbalance is the load of the busiest server over the mean, for keys by draw.
+func (c *calm) imbalance(draw func() keyrange.Key) float64 {
+	const draws = 20000
+	table := c.m.currentMap().Table("stock")
+	count := map[string]int{}
+	for range draws {
+		count[table.Find(draw()).Owner.ID]++
+	}
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	return float64(most) * float64(len(c.m.servers.Servers)) / draws
+}
+
+func equal(int) int { return 3 }
+
+// The whole key space is covered once, whatever the plans did.
+func (c *calm) requireCovered(t *testing.T) {
+	t.Helper()
+	next := 0
+	for _, r := range c.m.currentMap().Table("stock").Ranges {
+		require.Equal(t, next, int(r.From))
+		next = int(r.To) + 1
+	}
+	require.Equal(t, keyrange.KeyCount, next)
+}
+
+func TestFirstPlanFollowsCapacity(t *testing.T) {
+	c := newCalm(10, func(i int) int { return 1 + i%2*3 })
+	c.run(time.Second)
+	c.requireCovered(t)
+	for _, r := range c.m.currentMap().Table("stock").Ranges {
+		require.InDelta(t, float64(1+int(r.Owner.ID[3]-'0')%2*3)/25, float64(r.Width())/float64(keyrange.KeyCount), 0.01)
+	}
+}
+
+// hotNeighbours draws almost half of the requests from 60 neighbouring keys.
+func hotNeighbours(seed uint64) func() keyrange.Key {
+	r := rand.New(rand.NewPCG(seed, 2))
+	return func() keyrange.Key {
+		if r.Float64() < 0.43 {
+			return keyrange.Key(30000 + r.IntN(60))
+		}
+		return keyrange.Key(r.IntN(keyrange.KeyCount))
+	}
+}
+
+// Pattern: almost half of the requests go to 60 neighbouring keys. The baseline,
+// an even split that never moves, leaves them at one server.
+func TestHotNeighboursAreSpread(t *testing.T) {
+	for _, servers := range []int{20, 140} {
+		c := newCalm(servers, equal)
+		hot := hotNeighbours(1)
+		c.run(time.Second)
+		baseline := c.imbalance(hot)
+		c.load(2*time.Second, servers*7, hot)
+		after := c.imbalance(hot)
+		t.Logf("%d servers: busiest over mean %.2f, evenly split %.2f", servers, after, baseline)
+		require.Less(t, after, baseline/3)
+		c.requireCovered(t)
+	}
+}
+
+// The target: the busiest server carries less than 1.3 times the mean from two
+// seconds after the load has gathered.
+func TestBusiestServerTarget(t *testing.T) {
+	for _, servers := range []int{20, 140} {
+		c := newCalm(servers, equal)
+		hot := hotNeighbours(1)
+		c.run(time.Second)
+		c.load(2*time.Second, servers*7, hot)
+		require.Less(t, c.imbalance(hot), 1.3, "%d servers", servers)
+	}
+}
+
+// Pattern: a steady load without hot keys, and one that swings. Nothing moves.
+func TestSteadyLoadMovesLittle(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	c := newCalm(20, equal)
+	even := func() keyrange.Key { return keyrange.Key(r.IntN(keyrange.KeyCount)) }
+	c.run(time.Second)
+	before := c.m.known.Fences
+	for i := range 10 {
+		c.load(time.Second, 130+20*(i%2), even)
+	}
+	require.Less(t, int(c.m.known.Fences-before), 25, "moves in ten seconds")
+}
+
+// Pattern: servers leave; their keys go to those with the least load.
+func TestLostServersKeysAreSpread(t *testing.T) {
+	c := newCalm(20, equal)
+	c.run(time.Second)
+	c.list(16, equal)
+	c.run(4 * time.Second)
+	c.requireCovered(t)
+	width := map[string]int{}
+	for _, r := range c.m.currentMap().Table("stock").Ranges {
+		require.True(t, r.Granted)
+		require.Less(t, r.Owner.ID, "s016")
+		width[r.Owner.ID] += r.Width()
+	}
+	for id, n := range width {
+		require.InDelta(t, 1.0/16, float64(n)/float64(keyrange.KeyCount), 0.03, id)
+	}
+}
+
+// New servers get keys while there is load.
+func TestNewServersGetKeys(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	even := func() keyrange.Key { return keyrange.Key(r.IntN(keyrange.KeyCount)) }
+	c := newCalm(12, equal)
+	c.run(time.Second)
+	c.load(2*time.Second, 150, even)
+	c.list(16, equal)
+	c.load(4*time.Second, 150, even)
+	owners := map[string]bool{}
+	for _, x := range c.m.currentMap().Table("stock").Ranges {
+		owners[x.Owner.ID] = true
+	}
+	require.Len(t, owners, 16)
+}
+
+// The number of ranges does not go on growing while the hot keys wander.
+func TestRangesAreJoined(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	c := newCalm(20, equal)
+	c.run(time.Second)
+	wander := func(from, to int) {
+		for i := from; i < to; i++ {
+			base := i * 2500
+			c.load(3*time.Second, 200, func() keyrange.Key {
+				if r.Float64() < 0.4 {
+					return keyrange.Key(base + r.IntN(200))
+				}
+				return keyrange.Key(r.IntN(keyrange.KeyCount))
+			})
+			c.requireCovered(t)
+		}
+	}
+	wander(0, 12)
+	half := len(c.m.ranges)
+	wander(12, 24)
+	require.Less(t, len(c.m.ranges), half*5/4, "ranges after twice the time")
+}
+
+// A server that answers slowly gets less.
+func TestSlowServersGetLess(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	c := newCalm(10, equal)
+	c.run(time.Second)
+	for range 30 {
+		var rep Report
+		for range 20 {
+			rep.Keys = append(rep.Keys, KeyLoad{Service: "stock", Key: keyrange.Key(r.IntN(keyrange.KeyCount)), Count: 1})
+			id := r.IntN(10)
+			ms := 200
+			if id == 0 {
+				ms = 800
+			}
+			rep.Times = append(rep.Times, ServerTime{ID: fmt.Sprintf("s%03d", id), Millis: ms})
+		}
+		c.m.AddReport(c.now, "h", rep)
+		c.run(100 * time.Millisecond)
+	}
+	width := 0
+	for _, x := range c.m.currentMap().Table("stock").Ranges {
+		if x.Owner.ID == "s000" {
+			width += x.Width()
+		}
+	}
+	require.Less(t, float64(width)/float64(keyrange.KeyCount), 0.07)
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, servers := range []int{23, 188} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(1, 2))
+			c := newCalm(servers, equal)
+			c.run(time.Second)
+			c.load(2*time.Second, servers*7, func() keyrange.Key { return keyrange.Key(r.IntN(keyrange.KeyCount)) })
+			for b.Loop() {
+				c.m.plan(c.now)
+				c.m.pending, c.m.storeBusy = nil, false
+			}
+		})
+	}
+}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -42,8 +42,8 @@
 	confirmEvery       = 300 * time.Millisecond
 	silenceBeforeClaim = 600 * time.Millisecond
 	rankDelay          = 80 * time.Millisecond
-	smallDelay         = 350 * time.Millisecond
-	hold               = 2200 * time.Millisecond
+	smallDelay         = 500 * time.Millisecond
+	hold               = 2500 * time.Millisecond
 	renewEvery         = 700 * time.Millisecond
 	settle             = 1800 * time.Millisecond
 )
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -16,6 +16,8 @@
 	// followPause is the pause after a question that failed or met a host that
 	// does not lead.
 	followPause = 100 * time.Millisecond
+	// followLongest bounds that pause, which doubles.
+	followLongest = 400 * time.Millisecond
 	// seedsAfter is how long no assigner was heard before seeds are asked too.
 	seedsAfter = 700 * time.Millisecond
 	// maxReport bounds the entries of one report.
@@ -91,15 +93,15 @@
 // follow asks the assigner again and again; as the assigner it feeds its own
 // reports to the machine.
 func (c *Cluster) follow() {
+	pause := followPause
 	for c.ctx.Err() == nil {
 		q := c.nextQuestion()
-		if q.to.Peer == "" {
-			c.pause(followPause)
+		if q.to.Peer != "" && c.ask(q) {
+			pause = followPause
 			continue
 		}
-		if !c.ask(q) {
-			c.pause(followPause)
-		}
+		c.pause(pause)
+		pause = min(2*pause, followLongest)
 	}
 }
 
@@ -189,7 +191,11 @@
 		c.takeConfig(a.Config)
 	}
 	if a.Map != nil {
-		c.takeMap(a.Map)
+		if m := a.Map.Unpack(); m != nil {
+			c.takeMap(m)
+		} else {
+			c.logger.Warn("cluster: invalid map from another host", zap.Uint64("epoch", a.Epoch))
+		}
 	}
 	if a.Asked > c.View().Asked && a.Leads {
 		c.views.change(func(v *View) { v.Asked = a.Asked })
@@ -268,10 +274,11 @@
 	}
 	v := c.View()
 	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
-		a.Map = v.Owners
+		m := v.Owners
 		if a.Leads {
-			a.Map = v.Owners.Since(q.Map)
+			m = m.Since(q.Map)
 		}
+		a.Map = hostlink.PackMap(m)
 	}
 	c.tellDirectory(a, q)
 	if c.hostsVersion > q.Hosts {
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -153,13 +153,23 @@
 			c.sleep(serversEvery)
 			continue
 		}
-		w.countUnder(c.leadingEpoch())
+		epoch := c.leadingEpoch()
+		if !w.loaded {
+			w.snapshot = c.View().Servers
+		}
+		if epoch != 0 {
+			w.snapshot = w.snapshot.WithEpoch(epoch)
+		}
+		before := w.snapshot.Version
 		if err := c.readServers(w); err != nil {
 			c.noteStore("read the backend servers", err)
 			c.sleep(pause.next())
 			continue
 		}
 		pause = 0
+		if epoch == 0 && w.snapshot.Version != before {
+			w.snapshot = w.snapshot.WithEpoch(0) // found without the assigner
+		}
 		s := w.snapshot
 		c.post(func() { c.takeServers(s) })
 		c.sleep(serversEvery)
@@ -182,14 +192,6 @@
 	}
 }
 
-// countUnder makes the directory count under the epoch that this host leads, or
-// on its own.
-func (w *serverWatch) countUnder(epoch uint64) {
-	if w.snapshot.Version.Epoch != epoch {
-		w.snapshot = w.snapshot.WithEpoch(epoch)
-	}
-}
-
 // leadingEpoch returns the epoch in which this host is the assigner, or 0.
 func (c *Cluster) leadingEpoch() uint64 {
 	got := make(chan uint64, 1)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -56,6 +56,8 @@
 
 	recent []stamped // the last changes, oldest first
 	oldest uint64    // recent holds every change after this one
+	// before is the last version under an earlier assigner, whose count went on.
+	before Version
 	// departed holds the last entries of servers that were removed, so that an old
 	// entry that arrives late does not bring them back.
 	departed []Server
@@ -90,7 +92,8 @@
 // Since returns what has changed since an earlier version, or nil when that is
 // not known.
 func (s *Snapshot) Since(base Version) *Delta {
-	if base.Epoch != s.Version.Epoch || base.Change < s.oldest {
+	known := base.Epoch == s.Version.Epoch || base.Epoch == s.before.Epoch && base.Epoch != 0 && base.Change <= s.before.Change
+	if !known || base.Change < s.oldest {
 		return nil
 	}
 	d := &Delta{Base: base, Next: s.Next, Version: s.Version}
@@ -112,14 +115,20 @@
 	return out
 }
 
-// WithEpoch returns the snapshot as counted by the assigner of an epoch. What
-// was counted before is not comparable.
+// WithEpoch returns the snapshot as counted by the assigner of an epoch. Its count
+// goes on from the earlier assigner's, so that hosts that know that one need only
+// the changes. A host's own count says nothing to others.
 func (s *Snapshot) WithEpoch(epoch uint64) *Snapshot {
 	out := *s
-	if out.Version.Epoch != epoch {
-		out.Version.Epoch = epoch
+	if out.Version.Epoch == epoch {
+		return &out
+	}
+	out.before = s.Version
+	if epoch == 0 || s.Version.Epoch == 0 {
+		out.before = Version{}
 		out.oldest = out.Version.Change
 	}
+	out.Version.Epoch = epoch
 	return &out
 }
 
@@ -141,7 +150,7 @@
 		return s
 	}
 	f := newFolder(s)
-	out := &Snapshot{Next: next, Version: s.Version, recent: s.recent, oldest: s.oldest}
+	out := &Snapshot{Next: next, Version: s.Version, recent: s.recent, oldest: s.oldest, before: s.before}
 	for _, c := range changes {
 		if f.apply(c) {
 			out.Version.Change++
@@ -164,20 +173,19 @@
 // Reload returns the snapshot that holds exactly the given servers. An entry that
 // is older than what s knows of the server does not count.
 func (s *Snapshot) Reload(all []Change, next uint64) *Snapshot {
-	f := newFolder(s)
-	clear(f.servers)
+	listed := make(map[string]bool, len(all))
 	for _, c := range all {
-		if known := s.Find(c.ID); known != nil && c.Server != nil && c.Server.olderThan(*known) {
-			f.servers[c.ID] = *known
-			continue
+		listed[c.ID] = true
+	}
+	changes := all
+	for _, v := range s.Servers {
+		if !listed[v.Holder.ID] {
+			changes = append(changes, Change{ID: v.Holder.ID})
 		}
-		f.apply(c)
 	}
-	out := &Snapshot{Next: next, Version: s.Version}
-	out.Version.Change++
-	out.oldest = out.Version.Change
-	out.Servers, out.departed = f.result()
-	return out
+	out := *s.Fold(changes, next)
+	out.Next = next
+	return &out
 }
 
 // Keep adds the servers of old that s lacks, for the time after an outage in
@@ -187,7 +195,7 @@
 	for _, v := range s.Servers {
 		f.servers[v.Holder.ID] = v
 	}
-	out := &Snapshot{Next: s.Next, Version: s.Version, recent: s.recent, oldest: s.oldest}
+	out := &Snapshot{Next: s.Next, Version: s.Version, recent: s.recent, oldest: s.oldest, before: s.before}
 	out.Servers, out.departed = f.result()
 	return out
 }
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -52,7 +52,7 @@
 	Leads    bool          `json:"leads"`    // the asked host is the assigner and may act
 	// Abandoned asks others to take over: the assigner stops or has lost the store.
 	Abandoned bool                `json:"abandoned,omitempty"`
-	Map       *keyrange.Map       `json:"map,omitempty"`
+	Map       *Map                `json:"map,omitempty"`
 	Servers   *directory.Snapshot `json:"servers,omitempty"`
 	// Changes of the directory are told instead of Servers where they suffice.
 	Changes  *directory.Delta   `json:"changes,omitempty"`
--- /dev/null
+++ b/hostlink/map.go
@@ -0,0 +1,73 @@
+package hostlink
+
+import "github.com/lacewingsaddle/lacewingsaddle/keyrange"
+
+// Map is a keyrange.Map as it travels between hosts: owners are listed once, and
+// a range takes three numbers. Fencing tokens are left out, since only the
+// assigner grants.
+type Map struct {
+	Version keyrange.Version  `json:"v"`
+	Base    *keyrange.Version `json:"b,omitempty"`
+	Owners  []keyrange.Holder `json:"o"`
+	Tables  []MapTable        `json:"t"`
+}
+
+// MapTable holds the ranges of one service.
+type MapTable struct {
+	Service string `json:"s"`
+	// Ranges holds for each range its first key, its last key, and twice the index
+	// of its owner, plus one when the owner has accepted the grant.
+	Ranges []uint32 `json:"r"`
+}
+
+// perRange is the number of numbers that a range takes.
+const perRange = 3
+
+// PackMap returns the form of m that travels.
+func PackMap(m *keyrange.Map) *Map {
+	out := &Map{Version: m.Version, Base: m.Base}
+	index := map[keyrange.Holder]uint32{}
+	for _, t := range m.Tables {
+		packed := MapTable{Service: t.Service, Ranges: make([]uint32, 0, perRange*len(t.Ranges))}
+		for _, r := range t.Ranges {
+			i, ok := index[r.Owner]
+			if !ok {
+				i = uint32(len(out.Owners))
+				index[r.Owner] = i
+				out.Owners = append(out.Owners, r.Owner)
+			}
+			packed.Ranges = append(packed.Ranges, uint32(r.From), uint32(r.To), i<<1|bit(r.Granted))
+		}
+		out.Tables = append(out.Tables, packed)
+	}
+	return out
+}
+
+func bit(on bool) uint32 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+// Unpack returns the map, or nil when the message is invalid.
+func (m *Map) Unpack() *keyrange.Map {
+	out := &keyrange.Map{Version: m.Version, Base: m.Base}
+	for _, t := range m.Tables {
+		if len(t.Ranges)%perRange != 0 {
+			return nil
+		}
+		table := keyrange.Table{Service: t.Service}
+		for i := 0; i < len(t.Ranges); i += perRange {
+			from, to, owner := t.Ranges[i], t.Ranges[i+1], t.Ranges[i+2]
+			if from > to || to > uint32(keyrange.MaxKey) || int(owner>>1) >= len(m.Owners) {
+				return nil
+			}
+			table.Ranges = append(table.Ranges, keyrange.Range{
+				From: keyrange.Key(from), To: keyrange.Key(to), Owner: m.Owners[owner>>1], Granted: owner&1 == 1,
+			})
+		}
+		out.Tables = append(out.Tables, table)
+	}
+	return out
+}
