--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -212,9 +212,10 @@
 
 // LearnAssigner tells whom another host follows. It serves to find the assigner
 // while the store does not answer; claims always read the store first.
-func (m *Machine) LearnAssigner(epoch uint64, h Host) {
+func (m *Machine) LearnAssigner(now Time, epoch uint64, h Host) {
 	if m.role == follower && epoch > m.known.Epoch && h.Name != "" {
 		m.known = Record{Epoch: epoch, Assigner: h}
+		m.heardAt = now + takeoverTime
 	}
 }
 
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -17,22 +17,6 @@
 	Peer        string `json:"peer"` // address of its peer endpoint
 }
 
-// Record is the assignment as the store keeps it. The newest record is the
-// whole state; a record is appended only at the end that its author has read.
-type Record struct {
-	Epoch  uint64 `json:"epoch"`
-	Change uint64 `json:"change"`
-	// Assigner is empty after a resignation.
-	Assigner Host             `json:"assigner"`
-	Fences   keyrange.Fence   `json:"fences"` // highest token handed out
-	Tables   []keyrange.Table `json:"tables"`
-}
-
-// Version returns the version of the record's map.
-func (r Record) Version() keyrange.Version {
-	return keyrange.Version{Epoch: r.Epoch, Change: r.Change}
-}
-
 // StoreResult tells how a call to the store ended.
 type StoreResult uint8
 
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -179,7 +179,7 @@
 	if a.Leads {
 		c.machine.HeardAssigner(now, a.Epoch)
 	}
-	c.machine.LearnAssigner(a.Epoch, a.Assigner)
+	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
 	if a.Abandoned {
 		c.machine.Abandoned(now, a.Epoch)
 	}
