--- /dev/null
+++ b/assigner/claim.go
@@ -0,0 +1,237 @@
+package assigner
+
+import (
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+func (m *Machine) tickFollower(now Time) {
+	wait := m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay
+	if !m.loaded {
+		wait = m.cfg.ClaimDelay
+	}
+	if m.resigned || m.storeBusy || now < m.storeRetry || now-m.heardAt < wait {
+		return
+	}
+	m.storeBusy = true
+	m.do(Load{})
+}
+
+// HeardAssigner tells that the assigner of an epoch answered and holds its lease.
+func (m *Machine) HeardAssigner(now Time, epoch uint64) {
+	if m.role == leading || epoch < m.known.Epoch {
+		return
+	}
+	m.heardAt = now
+	if now-m.lostAt > longestLostPause {
+		m.lostPause = 0
+	}
+}
+
+// LearnAssigner tells whom another host follows. It serves to find the assigner
+// while the store does not answer; claims always read the store first.
+func (m *Machine) LearnAssigner(now Time, epoch uint64, h Host) {
+	if m.role == follower && epoch > m.known.Epoch && h.Name != "" {
+		m.known = Record{Epoch: epoch, Assigner: h}
+		m.heardAt = now + takeoverTime
+	}
+}
+
+// Abandoned tells that the assigner has resigned or has lost the store: the
+// next one need not wait.
+func (m *Machine) Abandoned(now Time, epoch uint64) {
+	if m.role == follower && epoch >= m.known.Epoch {
+		m.heardAt = min(m.heardAt, now-m.cfg.SilenceBeforeClaim)
+	}
+}
+
+// StepLoaded takes the answer to a Load.
+func (m *Machine) StepLoaded(now Time, e Loaded) {
+	m.storeBusy = false
+	if e.Result != StoreOK {
+		m.loadPause = min(max(2*m.loadPause, retryStore), longestRetry)
+		m.storeRetry = now + m.loadPause
+		return
+	}
+	m.loadPause = 0
+	first := !m.loaded
+	m.loaded = true
+	m.end = e.End
+	var rec Record
+	if e.Record != nil {
+		rec = *e.Record
+	}
+	if m.pending != nil && m.resolve(now, e, rec) {
+		return
+	}
+	newer := m.known.Version().Less(rec.Version()) || rec.Assigner != m.known.Assigner
+	m.known = rec
+	if m.role == leading {
+		m.stepDown(now)
+		return
+	}
+	if rec.Assigner == m.cfg.Self && !m.resigned {
+		m.lead(now, e.Start)
+		return
+	}
+	other := rec.Assigner.Name != "" && rec.Assigner.Name != m.cfg.Self.Name
+	if other && (first || newer) {
+		m.heardAt = now + takeoverTime // another assigner was found: give it time to answer
+		m.publishRecorded(rec)
+		return
+	}
+	if other && now-m.heardAt < m.claimWait() {
+		m.storeRetry = now + m.cfg.SilenceBeforeClaim
+		return
+	}
+	m.claim(now)
+}
+
+// claimWait is how long this host hears no assigner before it claims.
+func (m *Machine) claimWait() time.Duration {
+	return m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay + m.lostPause
+}
+
+// publishRecorded tells this host the recorded map while it cannot ask the
+// assigner. Whether a range was granted is not recorded; a server that does not
+// hold it yet says so.
+func (m *Machine) publishRecorded(rec Record) {
+	out := &keyrange.Map{Version: rec.Version(), Tables: rec.Tables}
+	out = out.Clone()
+	for _, t := range out.Tables {
+		for i := range t.Ranges {
+			t.Ranges[i].Granted = true
+			t.Ranges[i].Prior = nil
+		}
+	}
+	m.do(Publish{Map: out})
+}
+
+// resolve settles an append in doubt. It reports whether the load was used up.
+func (m *Machine) resolve(now Time, e Loaded, rec Record) bool {
+	p := *m.pending
+	if rec.Assigner == p.Assigner && rec.Version() == p.Version() {
+		m.StepAppended(now, Appended{Result: StoreOK, Start: e.Start, End: e.End})
+		return true
+	}
+	if rec.Version() == m.known.Version() && rec.Assigner == m.known.Assigner {
+		m.storeBusy = true // the same bytes again: a late first append changes nothing
+		m.do(Append{At: m.end, Record: p})
+		return true
+	}
+	m.pending = nil
+	return false
+}
+
+func (m *Machine) claim(now Time) {
+	if m.resigned {
+		return
+	}
+	rec := m.known
+	rec.Epoch, rec.Change, rec.Assigner = rec.Epoch+1, 0, m.cfg.Self
+	rec.Fences = keyrange.Fence(rec.Epoch << fenceBits)
+	if !m.omit.newFence {
+		rec.Tables = renumbered(rec.Tables, &rec.Fences)
+	}
+	m.role = claiming
+	m.append(rec)
+}
+
+// renumbered gives every range a new token and joins neighbours with the same
+// owner. Once its owner has answered a grant under the new token, grants of earlier
+// assigners no longer count there.
+func renumbered(tables []keyrange.Table, fences *keyrange.Fence) []keyrange.Table {
+	out := make([]keyrange.Table, 0, len(tables))
+	for _, t := range tables {
+		var ranges []keyrange.Range
+		for _, r := range t.Ranges {
+			if n := len(ranges); n > 0 && joinable(ranges[n-1], r) {
+				ranges[n-1].To = r.To
+				continue
+			}
+			*fences++
+			r.Fence = *fences
+			ranges = append(ranges, r)
+		}
+		out = append(out, keyrange.Table{Service: t.Service, Ranges: ranges})
+	}
+	return out
+}
+
+// joinable reports whether b may become part of a: the same owner has both, and
+// nobody else can hold either.
+func joinable(a, b keyrange.Range) bool {
+	return a.Owner == b.Owner && int(a.To)+1 == int(b.From) && len(a.Prior) == 0 && len(b.Prior) == 0
+}
+
+func (m *Machine) append(rec Record) {
+	m.pending = &rec
+	m.storeBusy = true
+	if m.omit.record && m.role == leading {
+		m.adopt(m.planned, rec)
+	}
+	m.do(Append{At: m.end, Record: rec})
+}
+
+// StepAppended takes the answer to an Append.
+func (m *Machine) StepAppended(now Time, e Appended) {
+	m.storeBusy = false
+	if m.pending == nil {
+		return
+	}
+	switch e.Result {
+	case StoreOK:
+		rec := *m.pending
+		m.pending, m.end = nil, e.End
+		m.known = rec
+		if m.role == leading && !m.resigned {
+			m.confirmedAt = max(m.confirmedAt, e.Start)
+			m.adopt(now, rec)
+		} else if !m.resigned {
+			m.lead(now, e.Start)
+		}
+	case StoreConflict, StoreDoubt:
+		// Only the store knows whose record came first.
+		m.storeBusy = true
+		m.do(Load{})
+		if m.role == claiming {
+			m.role = follower
+		}
+	case StoreFailed:
+		m.storeRetry = now + retryStore
+		m.pending = nil
+		if m.role == claiming {
+			m.role = follower
+		}
+	}
+}
+
+// stepDown ends the own epoch after another host's claim. A host that the others
+// do not hear loses each epoch soon: it waits longer each time before it claims.
+func (m *Machine) stepDown(now Time) {
+	m.role = follower
+	shortest, longest := firstLostPause, longestLostPause
+	if now-m.followedAt > hostHeard {
+		shortest, longest = firstAlonePause, longestAlonePause
+	}
+	m.lostPause = min(max(2*m.lostPause, shortest), longest)
+	m.ranges = nil
+	m.pending = nil
+	m.heardAt, m.lostAt = now, now
+}
+
+// Resign gives the epoch up before a planned stop.
+func (m *Machine) Resign(now Time) {
+	if m.resigned {
+		return
+	}
+	m.resigned = true
+	if m.role != leading || !m.mayAct(now) || m.storeBusy {
+		return
+	}
+	rec := m.record()
+	rec.Assigner = Host{}
+	m.role = follower
+	m.append(rec)
+}
--- /dev/null
+++ b/assigner/lead.go
@@ -0,0 +1,224 @@
+package assigner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// lead begins to act under the epoch of the known record.
+func (m *Machine) lead(now, start Time) {
+	m.role = leading
+	m.confirmedAt = start
+	m.confirming, m.confirmFailed = false, false
+	m.taken = now
+	m.ranges = nil
+	m.load.reset(now)
+	m.suspects.reset()
+	m.change = m.known.Change
+	// An earlier assigner may have renewed any holder until its lease ended.
+	bound := now + m.cfg.Lease + m.holdEnd(m.cfg.HoldMax) + GrantSpan
+	if m.omit.takeoverWait {
+		bound = now
+	}
+	total := 0
+	for _, t := range m.known.Tables {
+		total += len(t.Ranges)
+	}
+	for _, t := range m.known.Tables {
+		for _, r := range t.Ranges {
+			r.Granted = false
+			s := newRangeState(t.Service, r, bound, now-restTime)
+			s.unproven = true
+			s.nextGrant = now + time.Duration(len(m.ranges))*min(grantPause, grantSpread/time.Duration(total))
+			m.ranges = append(m.ranges, s)
+		}
+	}
+	m.dirty = true
+}
+
+// holdEnd is how long after its arrival a grant of the given time may last.
+func (m *Machine) holdEnd(hold time.Duration) time.Duration {
+	return holdMargin + hold + time.Duration(float64(hold)*clockDrift)
+}
+
+func (m *Machine) tickLeading(now Time) {
+	m.confirm(now)
+	if !m.mayAct(now) {
+		return
+	}
+	m.askHosts(now)
+	if !m.storeBusy && now >= m.storeRetry {
+		m.planOrResolve(now)
+	}
+	hold := m.holdTime(now)
+	for _, r := range m.ranges {
+		m.driveRange(now, r, hold)
+	}
+	if m.dirty && now-m.lastPub >= publishEvery {
+		m.dirty = false
+		m.lastPub = now
+		m.change++
+		m.published = m.publishable()
+		m.do(Publish{Map: m.published})
+	}
+}
+
+// planOrResolve plans, unless the last record is still in doubt.
+func (m *Machine) planOrResolve(now Time) {
+	if m.pending != nil {
+		m.storeBusy = true
+		m.do(Load{})
+		return
+	}
+	if now-m.planned >= planEvery {
+		m.planned = now
+		m.plan(now)
+	}
+}
+
+// holdTime returns how long grants last. When the store's trouble begins, every
+// grant is renewed at once for the longest time, so that keys outlast an outage.
+func (m *Machine) holdTime(now Time) time.Duration {
+	troubled := m.storeTroubled(now)
+	if troubled && !m.troubled {
+		for _, r := range m.ranges {
+			r.nextGrant = min(r.nextGrant, now)
+		}
+	}
+	m.troubled = troubled
+	if troubled {
+		return m.cfg.HoldMax
+	}
+	return m.cfg.Hold
+}
+
+func (m *Machine) storeTroubled(now Time) bool {
+	return m.confirmFailed || m.confirming && now-m.confirmStarted > slowStore
+}
+
+// StoreTroubled reports whether the assigner's last confirmation failed or is late.
+func (m *Machine) StoreTroubled(now Time) bool { return m.role == leading && m.storeTroubled(now) }
+
+func (m *Machine) confirm(now Time) {
+	if m.confirming || now-m.confirmStarted < m.cfg.ConfirmEvery {
+		return
+	}
+	m.confirming = true
+	m.confirmStarted = now
+	m.do(Confirm{})
+}
+
+// StepConfirmed takes the answer to a Confirm.
+func (m *Machine) StepConfirmed(now Time, e Confirmed) {
+	m.confirming = false
+	if m.role != leading {
+		return
+	}
+	m.confirmFailed = e.Result != StoreOK
+	if m.confirmFailed {
+		return
+	}
+	if e.End == m.end {
+		m.confirmedAt = max(m.confirmedAt, e.Start)
+		return
+	}
+	if m.storeBusy || m.pending != nil || e.End < m.end {
+		return // an append of our own is on its way, or the read is older than one
+	}
+	m.storeBusy = true
+	m.do(Load{})
+}
+
+// currentMap returns the map as this assigner sees it.
+func (m *Machine) currentMap() *keyrange.Map {
+	out := &keyrange.Map{Version: keyrange.Version{Epoch: m.known.Epoch, Change: m.change}}
+	for _, r := range m.ranges {
+		n := len(out.Tables)
+		if n == 0 || out.Tables[n-1].Service != r.service {
+			out.Tables = append(out.Tables, keyrange.Table{Service: r.service})
+			n++
+		}
+		out.Tables[n-1].Ranges = append(out.Tables[n-1].Ranges, r.Range)
+	}
+	return out
+}
+
+// publishable returns the map for the other hosts, with the change that touched
+// each range last. Earlier holders are the assigner's business alone.
+func (m *Machine) publishable() *keyrange.Map {
+	out := m.currentMap()
+	for i := range out.Tables {
+		before := m.published.Table(out.Tables[i].Service)
+		for j := range out.Tables[i].Ranges {
+			r := &out.Tables[i].Ranges[j]
+			r.Prior = nil
+			r.Changed = m.change
+			if before == nil || m.published.Version.Epoch != out.Version.Epoch {
+				continue
+			}
+			old := before.Find(r.From)
+			if old != nil && old.From == r.From && old.To == r.To && old.Granted == r.Granted && old.SameGrant(*r) {
+				r.Changed = old.Changed
+			}
+		}
+	}
+	return out
+}
+
+// record returns the record of the present ranges.
+func (m *Machine) record() Record {
+	rec := m.known
+	rec.Change = m.change + 1
+	rec.Tables = nil
+	for _, t := range m.currentMap().Tables {
+		for i := range t.Ranges {
+			t.Ranges[i].Granted = false
+		}
+		rec.Tables = append(rec.Tables, t)
+	}
+	return rec
+}
+
+// adopt takes the ranges of a record that is now in the store.
+func (m *Machine) adopt(now Time, rec Record) {
+	old := m.ranges
+	m.ranges = nil
+	m.change = max(m.change, rec.Change)
+	for _, t := range rec.Tables {
+		for _, r := range t.Ranges {
+			m.ranges = append(m.ranges, inherit(now, old, t.Service, r))
+		}
+	}
+	m.dirty = true
+}
+
+// inherit builds the state of a recorded range from the ranges that it was cut
+// from or joined of.
+func inherit(now Time, old []*rangeState, service string, r keyrange.Range) *rangeState {
+	i := sort.Search(len(old), func(i int) bool {
+		return old[i].service > service || old[i].service == service && old[i].To >= r.From
+	})
+	if i == len(old) || old[i].service != service || !old[i].Contains(r.From) {
+		return newRangeState(service, r, 0, now)
+	}
+	if src := old[i]; src.SameGrant(r) {
+		out := *src
+		out.From, out.To = r.From, r.To
+		out.calls = nil
+		return &out
+	}
+	bound := Time(0)
+	for ; i < len(old) && old[i].service == service && old[i].From <= r.To; i++ {
+		bound = max(bound, old[i].heldUntil)
+		if len(old[i].Prior) > 0 {
+			bound = max(bound, old[i].freeAt)
+		}
+	}
+	s := newRangeState(service, r, bound, now)
+	if s.unproven = len(r.Prior) == 0; !s.unproven {
+		s.heldUntil = 0 // the new owner has been granted nothing yet
+	}
+	return s
+}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -240,7 +240,6 @@
 func (r reply) news() bool {
 	return r.Map != nil || r.Servers != nil || r.Config != nil || r.Abandoned || r.Asked != 0
 }
-func (r reply) leads() bool { return r.Leads }
 
 func waitFor(ctx context.Context, news <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/cluster/take.go
@@ -0,0 +1,111 @@
+package cluster
+
+import (
+	"hash/fnv"
+	"sort"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// takeMap publishes a newer map. An older one is dropped: the view never goes back.
+func (c *Cluster) takeMap(m *keyrange.Map) {
+	old := c.View().Owners
+	if old != nil && !old.Version.Less(m.Version) {
+		return
+	}
+	if m.Base != nil {
+		if old == nil || old.Version != *m.Base {
+			return // the changes build on another map; the next answer tells more
+		}
+		m = old.Apply(m)
+	}
+	m.KeepGranted(old)
+	c.stats.MapChanges.Add(1)
+	c.views.change(func(v *View) { v.Owners = m })
+}
+
+// takeServers publishes a directory that differs from the last one.
+func (c *Cluster) takeServers(s *directory.Snapshot) {
+	if old := c.View().Servers; old.Version != s.Version {
+		c.logServers(old, s)
+		c.views.change(func(v *View) { v.Servers = s })
+	}
+	c.tellMachine(s)
+}
+
+func (c *Cluster) tellMachine(s *directory.Snapshot) {
+	var sharded []string
+	if t := c.View().Routes; t != nil {
+		for _, v := range t.Services {
+			if v.Sharded {
+				sharded = append(sharded, v.Name)
+			}
+		}
+	}
+	sort.Strings(sharded)
+	c.machine.SetServers(c.cfg.Clock(), assigner.Servers{Snapshot: s, Sharded: sharded})
+}
+
+// takeConfig puts a newer configuration in force.
+func (c *Cluster) takeConfig(data []byte) {
+	table, err := c.store.DecodeConfig(data)
+	if err != nil {
+		c.logger.Error("cluster: configuration unusable, keeping the last one", zap.Error(err))
+		return
+	}
+	if old := c.View().Routes; old != nil && table.Version <= old.Version {
+		return
+	}
+	c.rawConfig = data
+	c.logger.Info("cluster: configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes))
+	c.views.change(func(v *View) { v.Routes = table })
+	c.tellMachine(c.View().Servers)
+}
+
+// hostList returns the registered hosts for others.
+func (c *Cluster) hostList() *hostlink.HostList {
+	out := &hostlink.HostList{Version: c.hostsVersion}
+	for _, h := range c.hosts {
+		out.Hosts = append(out.Hosts, h)
+	}
+	return out
+}
+
+// takeHosts adds registered hosts and sets the rank.
+func (c *Cluster) takeHosts(hosts []assigner.Host, version uint64) {
+	c.hostsVersion = max(c.hostsVersion, version)
+	for _, h := range hosts {
+		c.hosts[h.Name] = h
+	}
+	c.hosts[c.cfg.Self.Name] = c.cfg.Self
+	c.machine.SetRank(c.rank())
+	c.machine.SetHosts(len(c.hosts))
+	n := len(c.hosts)
+	if c.View().Hosts != n {
+		c.views.change(func(v *View) { v.Hosts = n })
+	}
+}
+
+// rank orders hosts by a hash of name and epoch, so that claims do not collide.
+func (c *Cluster) rank() int {
+	own := c.order(c.cfg.Self.Name)
+	n := 0
+	for name := range c.hosts {
+		if c.order(name) < own {
+			n++
+		}
+	}
+	return n % ranks
+}
+
+func (c *Cluster) order(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name + "/" + strconv.FormatUint(c.machine.Epoch(), 10))) // never fails
+	return h.Sum64()
+}
--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -22,6 +22,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/edge"
 	"github.com/lacewingsaddle/lacewingsaddle/gateway"
+	"github.com/lacewingsaddle/lacewingsaddle/logsink"
 	"github.com/lacewingsaddle/lacewingsaddle/platform"
 )
 
@@ -58,13 +59,15 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	output := logsink.NewWriter(os.Stdout)
+	defer output.Stop()
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(options(settings)),
 		fx.Provide(
-			newLogger,
+			func() *zap.Logger { return newLogger(output) },
 			func() cluster.Store { return platform.NewStore(settings.Store) },
 			func() cluster.Backends { return platform.NewBackends() },
 		),
@@ -93,12 +96,12 @@
 	}
 }
 
-func newLogger() *zap.Logger {
+func newLogger(output *logsink.Writer) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	enc.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(os.Stdout), zapcore.InfoLevel)
-	return zap.New(core)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), output, zapcore.InfoLevel)
+	return zap.New(logsink.NewCore(core, output, logsink.DefaultLines, time.Now))
 }
 
 // serve runs the app until a signal arrives and then stops it as planned.
--- /dev/null
+++ b/logsink/logsink_test.go
@@ -0,0 +1,74 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.open
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func logger(w *Writer, lines int) *zap.Logger {
+	enc := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(NewCore(zapcore.NewCore(enc, w, zapcore.InfoLevel), w, lines, time.Now))
+}
+
+// An output that is blocked delays nobody; what does not fit is counted.
+func TestBlockedOutputDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{open: make(chan struct{})}
+		w := NewWriter(out)
+		log := logger(w, queueLines*2)
+		start := time.Now()
+		for range queueLines + 100 {
+			log.Info("x")
+		}
+		require.Zero(t, time.Since(start))
+		require.Positive(t, w.Dropped())
+		close(out.open)
+		w.Stop()
+		require.GreaterOrEqual(t, strings.Count(out.text.String(), "\n"), queueLines)
+	})
+}
+
+// A flood of one message stays within its budget, is told of, and leaves other
+// messages alone.
+func TestFloodStaysWithinItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{open: make(chan struct{})}
+		close(out.open)
+		w := NewWriter(out)
+		log := logger(w, 10).With(zap.String("host", "h"))
+		for range 500 {
+			log.Info("flood", zap.String("request", "r"))
+			time.Sleep(10 * time.Millisecond)
+		}
+		log.Warn("other")
+		log.Debug("not written at this level")
+		w.Stop()
+		text := out.text.String()
+		require.Equal(t, 50, strings.Count(text, `"msg":"flood"`))
+		require.Equal(t, 1, strings.Count(text, `"msg":"other"`))
+		require.Contains(t, text, `"of":"flood","lines":90`)
+		require.NotContains(t, text, "not written")
+	})
+}
