--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -136,7 +136,6 @@
 
 	pending *Record // record whose append is outstanding or in doubt
 	ranges  []*rangeState
-	taken   Time // when the epoch began
 	change  uint64
 
 	servers  *directory.Snapshot
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -12,7 +12,6 @@
 	m.role = leading
 	m.confirmedAt = start
 	m.confirming, m.confirmFailed = false, false
-	m.taken = now
 	m.ranges = nil
 	m.load.reset(now)
 	m.suspects.reset()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -24,8 +24,9 @@
 	// afterStale is how long a request waits for news of its key's owner after a
 	// server said that it does not hold the key.
 	afterStale = 120 * time.Millisecond
-	// afterFull is the pause before a request is sent again to a full server.
-	afterFull = 60 * time.Millisecond
+	// afterFull is the pause before a request is sent again to a full server, for
+	// each send so far.
+	afterFull = 100 * time.Millisecond
 	// fullTime is how long a server that shed load is avoided.
 	fullTime = 150 * time.Millisecond
 )
@@ -267,7 +268,7 @@
 		if q.left() < q.target()/4 || !g.secondTry(q.service.Name) {
 			return false
 		}
-		return !q.keyed || q.pause(afterFull)
+		return !q.keyed || q.pause(afterFull*time.Duration(q.sends))
 	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch:
 		return !q.once() && g.secondTry(q.service.Name)
 	}
