--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -141,6 +141,11 @@
 	return 0
 }
 
+// SetSeeds replaces the peer addresses to ask while no assigner is known.
+func (c *Cluster) SetSeeds(seeds []string) {
+	c.post(func() { c.cfg.Seeds = seeds })
+}
+
 // View returns the newest view.
 func (c *Cluster) View() *View { return c.views.current.Load() }
 
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -257,6 +257,23 @@
 	})
 }
 
+// Seeds that were stale at the start are replaced while the host runs.
+func TestSeedsAreReplaced(t *testing.T) {
+	deployment(t, 3, 4, func(w *world) {
+		w.store.setDown(true)
+		w.watch(200 * time.Millisecond)
+		c := w.addHost("n9")
+		c.SetSeeds([]string{"nobody"})
+		w.watch(2 * time.Second)
+		require.Nil(t, c.View().Routes)
+		c.SetSeeds([]string{"nobody", "h1"})
+		w.watch(2 * time.Second)
+		require.NotNil(t, c.View().Routes)
+		w.store.setDown(false)
+		w.watch(settleTime)
+	})
+}
+
 // A map of an earlier epoch or change is not taken back.
 func TestStaleMapIsNotTakenBack(t *testing.T) {
 	deployment(t, 2, 4, func(w *world) {
--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -1,7 +1,8 @@
 // Command lacewingsaddle-edge runs one entry host on the users' platform. It
 // takes its settings from the file that the platform names.
 //
-// It exits with 0 after a planned stop (SIGTERM or SIGINT), with 2 when the
+// SIGHUP makes it read the settings again; unusable ones are logged, and the last
+// ones stay in force. It exits with 0 after a planned stop (SIGTERM or SIGINT), with 2 when the
 // settings are invalid, and with 1 when the host could not run.
 package main
 
@@ -58,7 +59,10 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	var host *edge.Host
 	output := logsink.NewWriter(os.Stdout)
 	defer output.Stop()
 	app := fx.New(
@@ -72,7 +76,9 @@
 			func() cluster.Backends { return platform.NewBackends() },
 		),
 		edge.Module,
+		fx.Populate(&host),
 	)
+	go reloadAt(hangups, host)
 	return serve(app, signals)
 }
 
@@ -104,6 +110,18 @@
 	return zap.New(logsink.NewCore(core, output, logsink.DefaultLines, time.Now))
 }
 
+// reloadAt reads the settings again at each hangup.
+func reloadAt(hangups <-chan os.Signal, host *edge.Host) {
+	for range hangups {
+		settings, err := platform.LoadSettings()
+		if err != nil {
+			host.KeepSettings(err)
+			continue
+		}
+		host.Reload(options(settings))
+	}
+}
+
 // serve runs the app until a signal arrives and then stops it as planned.
 func serve(app *fx.App, signals <-chan os.Signal) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -194,6 +194,18 @@
 	h.report("serve callers", func() error { return h.traffic.Serve(lis) })
 }
 
+// Reload takes what may change while the host runs: the peer addresses to ask
+// while no assigner is known. Its own addresses stay until its restart.
+func (h *Host) Reload(opts Options) {
+	h.cluster.SetSeeds(opts.Seeds)
+	h.logger.Info("edge: settings reloaded", zap.Strings("seeds", opts.Seeds))
+}
+
+// KeepSettings logs that changed settings are unusable.
+func (h *Host) KeepSettings(err error) {
+	h.logger.Error("edge: settings unusable, keeping the last ones", zap.Error(err))
+}
+
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !h.gateway.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
