--- /dev/null
+++ b/gateway/cost_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// newCostBench returns a bench outside virtual time.
+func newCostBench(b *testing.B) *bench {
+	t := &testing.T{}
+	w := newBench(t)
+	b.Cleanup(w.close)
+	return w
+}
+
+// The way of a request through the gateway alone, the server included.
+func BenchmarkGateway(b *testing.B) {
+	w := newCostBench(b)
+	for b.Loop() {
+		if w.send("GET", "/look/1", "id", "").Code != http.StatusOK {
+			b.Fatal("not answered")
+		}
+	}
+}
+
+// The same behind net/http over a loopback connection.
+func BenchmarkGatewayBehindHTTP(b *testing.B) {
+	w := newCostBench(b)
+	server := httptest.NewServer(w.gateway)
+	defer server.Close()
+	benchmarkHTTP(b, server.URL)
+}
+
+// A handler that answers at once behind net/http: what net/http and its client cost.
+func BenchmarkHTTPAlone(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "/look/1") // the client counts
+	}))
+	defer server.Close()
+	benchmarkHTTP(b, server.URL)
+}
+
+func benchmarkHTTP(b *testing.B, url string) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for b.Loop() {
+		req, err := http.NewRequest(http.MethodGet, url+"/look/1", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Host = "shop.example"
+		req.Header.Set("X-Id", "id")
+		req.Header.Set("X-Key", "77")
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || !strings.Contains(string(body), "/look") {
+			b.Fatal("not answered", err)
+		}
+		_ = resp.Body.Close() // all of it was read
+	}
+}
+
+// One line of the log.
+func BenchmarkLogLine(b *testing.B) {
+	enc := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	log := zap.New(zapcore.NewCore(enc, zapcore.AddSync(io.Discard), zapcore.InfoLevel))
+	for b.Loop() {
+		log.Info("gateway: send failed", zap.String("request", "id"), zap.String("server", "s"), zap.Int("send", 1))
+	}
+}
