gateway: a server's failure is passed on when no second try follows; owners asked once more

Cause: judge dropped the server's 5xx of an idempotent request before it was known whether the budget allowed a second try, and the caller got this host's 502 instead. waitForNews compared fencing tokens, which hosts other than the assigner do not learn, so a renewed grant of the same owner was never news.

--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -114,23 +114,19 @@
 
 // someHosts returns hosts that were heard lately, in random order.
 func (c *Cluster) someHosts(n int) []assigner.Host {
-	got := make(chan []assigner.Host, 1)
-	c.post(func() {
-		var out []assigner.Host
-		for _, h := range c.hosts {
-			if h.Name != c.cfg.Self.Name && c.machine.Hears(c.cfg.Clock(), h.Name) {
-				out = append(out, h)
-			}
+	out, _ := query(c.ctx, c, c.heardHosts)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+func (c *Cluster) heardHosts() []assigner.Host {
+	var out []assigner.Host
+	for _, h := range c.hosts {
+		if h.Name != c.cfg.Self.Name && c.machine.Hears(c.cfg.Clock(), h.Name) {
+			out = append(out, h)
 		}
-		got <- out
-	})
-	select {
-	case out := <-got:
-		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-		return out[:min(n, len(out))]
-	case <-c.ctx.Done():
-		return nil
 	}
+	return out
 }
 
 // Relay implements hostlink.Handler.
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// query runs f in the control goroutine and returns what it found. Ok is false
+// when the cluster stopped, or ctx ended, before that.
+func query[T any](ctx context.Context, c *Cluster, f func() T) (found T, ok bool) {
+	got := make(chan T, 1)
+	c.post(func() { got <- f() })
+	select {
+	case found = <-got:
+		return found, true
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return found, false
+}
+
 // run is the control goroutine.
 func (c *Cluster) run() {
 	timer := time.NewTimer(0)
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
@@ -117,38 +118,41 @@
 }
 
 func (c *Cluster) nextQuestion() question {
-	got := make(chan question, 1)
 	report := c.takeReport()
-	c.post(func() {
-		now := c.cfg.Clock()
-		if c.machine.Leads(now) {
-			c.machine.AddReport(now, c.cfg.Self.Name, report)
-			got <- question{}
-			return
-		}
-		q := question{to: c.machine.Assigner()}
-		if q.to.Name == c.cfg.Self.Name {
-			q.to = assigner.Host{}
-		}
-		if c.machine.Silence(now) > seedsAfter {
-			q.to = c.nextSeed(q.to)
-		}
-		v := c.View()
-		q.body = hostlink.Question{From: c.cfg.Self, Epoch: c.machine.Epoch(), Servers: v.Servers.Version, Report: report, Wait: int(syncWait.Milliseconds()), Asked: v.Asked, Hosts: c.hostsVersion}
-		if v.Owners != nil {
-			q.body.Map = v.Owners.Version
-		}
-		if v.Routes != nil {
-			q.body.Config = v.Routes.Version
-		}
-		got <- q
-	})
-	select {
-	case q := <-got:
-		return q
-	case <-c.ctx.Done():
+	q, _ := query(c.ctx, c, func() question { return c.questionWith(report) })
+	return q
+}
+
+func (c *Cluster) questionWith(report assigner.Report) question {
+	now := c.cfg.Clock()
+	if c.machine.Leads(now) {
+		c.machine.AddReport(now, c.cfg.Self.Name, report)
 		return question{}
 	}
+	q := question{to: c.machine.Assigner()}
+	if q.to.Name == c.cfg.Self.Name {
+		q.to = assigner.Host{}
+	}
+	if c.machine.Silence(now) > seedsAfter {
+		q.to = c.nextSeed(q.to)
+	}
+	v := c.View()
+	q.body = hostlink.Question{
+		From:    c.cfg.Self,
+		Epoch:   c.machine.Epoch(),
+		Servers: v.Servers.Version,
+		Report:  report,
+		Wait:    int(syncWait.Milliseconds()),
+		Asked:   v.Asked,
+		Hosts:   c.hostsVersion,
+	}
+	if v.Owners != nil {
+		q.body.Map = v.Owners.Version
+	}
+	if v.Routes != nil {
+		q.body.Config = v.Routes.Version
+	}
+	return q
 }
 
 // nextSeed returns in turn the assigner that is known and the seeds.
@@ -238,7 +242,7 @@
 type reply struct{ *hostlink.Answer }
 
 func (r reply) news() bool {
-	return r.Map != nil || r.Servers != nil || r.Config != nil || r.Abandoned || r.Asked != 0
+	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.Asked != 0
 }
 
 func waitFor(ctx context.Context, news <-chan struct{}, d time.Duration) {
@@ -252,16 +256,11 @@
 }
 
 func (c *Cluster) answer(ctx context.Context, q *hostlink.Question) (reply, error) {
-	got := make(chan *hostlink.Answer, 1)
-	c.post(func() { got <- c.answerNow(q) })
-	select {
-	case a := <-got:
-		return reply{a}, nil
-	case <-ctx.Done():
-		return reply{}, ctx.Err()
-	case <-c.ctx.Done():
-		return reply{}, c.ctx.Err()
+	a, ok := query(ctx, c, func() *hostlink.Answer { return c.answerNow(q) })
+	if !ok {
+		return reply{}, fault.New(fault.PeerUnavailable, "the question ended before it was answered")
 	}
+	return reply{a}, nil
 }
 
 func (c *Cluster) answerNow(q *hostlink.Question) *hostlink.Answer {
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -179,35 +179,22 @@
 // mustRead reports whether this host reads the store itself: as the assigner, or
 // while it hears none.
 func (c *Cluster) mustRead() bool {
-	got := make(chan bool, 1)
-	c.post(func() {
+	must, _ := query(c.ctx, c, func() bool {
 		now := c.cfg.Clock()
-		got <- c.machine.Leads(now) || c.machine.Silence(now) > readAlone
+		return c.machine.Leads(now) || c.machine.Silence(now) > readAlone
 	})
-	select {
-	case yes := <-got:
-		return yes
-	case <-c.ctx.Done():
-		return false
-	}
+	return must
 }
 
 // leadingEpoch returns the epoch in which this host is the assigner, or 0.
 func (c *Cluster) leadingEpoch() uint64 {
-	got := make(chan uint64, 1)
-	c.post(func() {
-		epoch := uint64(0)
-		if c.machine.Leads(c.cfg.Clock()) {
-			epoch = c.machine.Epoch()
+	epoch, _ := query(c.ctx, c, func() uint64 {
+		if !c.machine.Leads(c.cfg.Clock()) {
+			return 0
 		}
-		got <- epoch
+		return c.machine.Epoch()
 	})
-	select {
-	case epoch := <-got:
-		return epoch
-	case <-c.ctx.Done():
-		return 0
-	}
+	return epoch
 }
 
 func (c *Cluster) readServers(w *serverWatch) error {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,18 +43,26 @@
 	for {
 		s, err := g.locate(q)
 		if err != nil {
-			return nil, err
+			return q.failure, orFailure(q, err)
 		}
 		a, err := g.enterAndSend(q, s)
 		if err == nil {
 			return a, nil
 		}
 		if !g.again(q, s, err) {
-			return nil, err
+			return q.failure, orFailure(q, err)
 		}
 	}
 }
 
+// orFailure returns no error when a server's failure is the answer, else err.
+func orFailure(q *request, err error) error {
+	if q.failure != nil {
+		return nil
+	}
+	return err
+}
+
 // locate returns the backend server that q goes to next.
 func (g *Gateway) locate(q *request) (*server, error) {
 	if q.keyed {
@@ -159,7 +167,7 @@
 	if err == nil {
 		err = g.judge(q, a)
 	}
-	s.end(time.Now(), took, countsAsFailure(a, err))
+	s.end(took, countsAsFailure(a, err))
 	if err != nil {
 		q.mayHaveRun = q.mayHaveRun || mayHaveRun(err)
 		g.noteFailed(q, s, err, took)
@@ -227,18 +235,18 @@
 		discard(a)
 		return fault.New(fault.AnswerMismatch, "the answer does not prove that a backend server made it")
 	}
-	if a.Status >= http.StatusInternalServerError && !q.once() && q.sends < 2 && q.left() > q.target()/2 {
-		if g.retryAnswered(q) {
-			discard(a)
-			return fault.Newf(fault.AnswerCut, "the server failed with status %d", a.Status)
-		}
+	if a.Status >= http.StatusInternalServerError && q.repeatable() && a.Rest == nil {
+		q.failure = a
+		return fault.Newf(fault.AnswerCut, "the server failed with status %d", a.Status)
 	}
 	return nil
 }
 
-// retryAnswered reports whether an idempotent request that a server failed may
-// be sent again.
-func (g *Gateway) retryAnswered(q *request) bool { return q.rest == nil && q.sends < maxSends }
+// repeatable reports whether a request that a server failed is worth sending
+// again: it is idempotent, was sent once, and has time left.
+func (q *request) repeatable() bool {
+	return !q.once() && q.rest == nil && q.sends < 2 && q.left() > q.target()/2
+}
 
 func discard(a *upstream.Response) {
 	if a.Rest != nil {
@@ -262,7 +270,9 @@
 		if !q.keyed {
 			return g.secondTry(q.service.Name)
 		}
-		return g.waitForNews(q, s, afterStale) && g.secondTry(q.service.Name)
+		// Without news the owner may hold the key again, under a renewed grant.
+		again := g.waitForNews(q, s, afterStale) || q.sends == 1 && q.ctx.Err() == nil
+		return again && g.secondTry(q.service.Name)
 	case fault.NotAccepted:
 		s.full(time.Now().Add(fullTime))
 		if q.left() < q.target()/4 || !g.secondTry(q.service.Name) {
@@ -275,16 +285,14 @@
 	return false
 }
 
-// waitForNews waits until the key's owner or token differs from the server that
-// was asked, for at most d.
+// waitForNews waits until the key has another owner than the server that was
+// asked, for at most d.
 func (g *Gateway) waitForNews(q *request, s *server, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
-	before := grantOf(q, g.control.View())
 	for {
 		view := g.control.View()
-		now := grantOf(q, view)
-		if now != nil && now.Granted && (now.Owner != s.Holder || before != nil && !now.SameGrant(*before)) {
+		if now := grantOf(q, view); now != nil && now.Granted && now.Owner != s.Holder {
 			return true
 		}
 		select {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -357,3 +357,61 @@
 		require.Equal(t, 2, b.dials)
 	})
 }
+
+// failing is a server that runs each request and fails it.
+func failing(b *bench) backendFunc {
+	return func(conn net.Conn, req *http.Request) bool {
+		_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+		b.run(req)
+		return reply(conn, req, 500, "X-Signature: ok\r\n", "the server's own words")
+	}
+}
+
+// A server's failure is the answer when no second try may follow it.
+func TestServersFailureIsPassedOnWithoutASecondTry(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		b.gateway.cfg.Budget = BudgetRule{Window: 10 * time.Second} // allows none
+		b.servers["o1"], b.servers["o2"] = failing(b), failing(b)
+		w := b.send("GET", "/list/1", "a", "")
+		require.Equal(t, 500, w.Code)
+		require.Equal(t, "the server's own words", w.Body.String())
+		require.Equal(t, 1, b.ran("a"))
+	})
+}
+
+// A server's failure is the answer, too, when the second try was not accepted.
+func TestServersFailureIsPassedOnAfterASecondTryInVain(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		var asked atomic.Int64
+		first := failing(b)
+		once := func(conn net.Conn, req *http.Request) bool {
+			if asked.Add(1) == 1 {
+				return first(conn, req)
+			}
+			return notRunning(conn, req)
+		}
+		b.servers["o1"], b.servers["o2"] = once, once
+		w := b.send("GET", "/list/1", "a", "")
+		require.Equal(t, 500, w.Code)
+		require.Equal(t, "the server's own words", w.Body.String())
+	})
+}
+
+// An owner that did not hold its key yet, as between two holds, is asked once
+// more when no other owner is named.
+func TestOwnerThatHoldsItsKeyAgainIsAskedOnceMore(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		var asked atomic.Int64
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			if asked.Add(1) > 1 {
+				return b.answer(conn, req)
+			}
+			_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+			return reply(conn, req, 421, "X-Not-Run: 1\r\n", "")
+		}
+		start := time.Now()
+		require.Equal(t, 200, b.send("POST", "/book/1", "a", "x").Code)
+		require.Equal(t, afterStale, time.Since(start))
+		require.Equal(t, 1, b.ran("a"))
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/routetable"
+	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
 
 const (
@@ -44,6 +45,9 @@
 
 	tried []string // ids of the backend servers that it was sent to
 	sends int
+	// failure is a server's whole answer that says it failed. It is the answer if
+	// no later send has one.
+	failure *upstream.Response
 	// mayHaveRun is set when a send ended without proof that it did not run.
 	mayHaveRun bool
 }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -37,7 +37,6 @@
 	average     time.Duration // answer time
 	failures    float64       // share of recent requests that failed, 0 to 1
 	fullUntil   time.Time     // it has shed load until then
-	seen        time.Time     // of the last use or listing
 }
 
 // standing is a copy of what choices depend on.
@@ -61,11 +60,10 @@
 }
 
 // end notes the outcome of a request that began.
-func (s *server) end(now time.Time, took time.Duration, failed bool) {
+func (s *server) end(took time.Duration, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outstanding--
-	s.seen = now
 	outcome := 0.0
 	if failed {
 		outcome = 1
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -21,7 +21,6 @@
 type conn struct {
 	raw    net.Conn
 	reader *bufio.Reader
-	used   bool      // an answer has arrived on it
 	last   time.Time // of the last answer, or of the opening
 	until  time.Time // when the server may close it; zero when it did not say
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -279,7 +279,7 @@
 		return
 	}
 	c := x.conn
-	c.used, c.last = true, time.Now()
+	c.last = time.Now()
 	c.until = keepUntil(c.last, resp.Header.Get("Keep-Alive"))
 	_ = c.raw.SetDeadline(time.Time{}) // a closed connection shows at its next use
 	x.server.keep(c)
