--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -73,7 +73,7 @@
 	r := p.ranges[best]
 	if r.load <= amount*1.2 {
 		to := p.neighbour(best-1, r.load, p.neighbour(best+1, r.load, cold))
-		p.give(&p.ranges[best], to)
+		p.give(&p.ranges[best], to, CauseBalance)
 		return true
 	}
 	return p.cutAndGive(best, cold, amount)
@@ -109,7 +109,7 @@
 	if move.load <= 0 || move.load > 2*amount+1 && move.load > r.load*0.9 {
 		return false
 	}
-	p.give(&move, n)
+	p.give(&move, n, CauseBalance)
 	p.ranges[i] = keep
 	p.ranges = append(p.ranges, move)
 	p.sort()
@@ -154,7 +154,7 @@
 		if r.load > smallShare*fair || to.load+r.load > imbalance*p.mean*to.capacity {
 			continue
 		}
-		p.give(r, to)
+		p.give(r, to, CauseAbsorb)
 		left--
 	}
 }
--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -135,7 +135,7 @@
 		rec.Tables = renumbered(rec.Tables, &rec.Fences)
 	}
 	m.role = claiming
-	m.append(rec)
+	m.append(rec, nil)
 }
 
 // renumbered gives every range a new token and joins neighbours with the same
@@ -165,13 +165,13 @@
 	return a.Owner == b.Owner && int(a.To)+1 == int(b.From) && len(a.Prior) == 0 && len(b.Prior) == 0
 }
 
-func (m *Machine) append(rec Record) {
+func (m *Machine) append(rec Record, moves []Move) {
 	m.pending = &rec
 	m.storeBusy = true
 	if m.omit.record && m.role == leading {
 		m.adopt(m.planned, rec)
 	}
-	m.do(Append{At: m.end, Record: rec})
+	m.do(Append{At: m.end, Record: rec, Moves: moves})
 }
 
 // StepAppended takes the answer to an Append.
@@ -233,5 +233,5 @@
 	rec := m.record()
 	rec.Assigner = Host{}
 	m.role = follower
-	m.append(rec)
+	m.append(rec, nil)
 }
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -62,6 +62,21 @@
 	CallFailed             // no answer, or one that says nothing
 )
 
+// String implements fmt.Stringer, for logs.
+func (r CallResult) String() string {
+	switch r {
+	case CallOK:
+		return "done"
+	case CallFenced:
+		return "a higher token was seen"
+	case CallRefused:
+		return "connection refused"
+	case CallUnsent:
+		return "not sent"
+	}
+	return "no answer"
+}
+
 // Sent reports whether the call may have reached the server.
 func (r CallResult) Sent() bool { return r != CallRefused && r != CallUnsent }
 
@@ -110,10 +125,32 @@
 // Load reads the newest record and the partition's end.
 type Load struct{}
 
-// Append appends a record at an offset.
+// Append appends a record at an offset. Moves tells what a plan changed in it.
 type Append struct {
 	At     uint64
 	Record Record
+	Moves  []Move
+}
+
+// Cause says why keys move.
+type Cause string
+
+// The causes of moves.
+const (
+	CauseFirst   Cause = "first assignment"
+	CauseOrphan  Cause = "owner cannot serve"
+	CauseBalance Cause = "load is uneven"
+	CauseAbsorb  Cause = "small range joins its neighbour"
+)
+
+// Move is a range that gets another owner.
+type Move struct {
+	Service string
+	Range   keyrange.Range
+	Before  keyrange.Holder // empty for none
+	Cause   Cause
+	Load    float64 // part of the service's remembered load, 0 to 1
+	Use     float64 // the new owner's load over the mean, after the move
 }
 
 // Confirm reads the partition's end alone.
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -62,6 +62,7 @@
 	ranges  []planned
 	mean    float64 // load for each unit of capacity
 	changed bool
+	moved   []given
 }
 
 // planned is a range in a plan.
@@ -72,12 +73,20 @@
 	owner *node // nil when the owner cannot serve
 }
 
+// given is a range that was given to another server, by its first key.
+type given struct {
+	from   keyrange.Key
+	before keyrange.Holder
+	cause  Cause
+}
+
 // plan appends a record when ranges have no usable owner or load is uneven.
 func (m *Machine) plan(now Time) {
 	m.load.decay(now)
 	fences := m.known.Fences
 	changed := false
 	var tables []keyrange.Table
+	var moves []Move
 	for _, name := range m.serviceNames() {
 		p := m.planService(now, name)
 		if p == nil {
@@ -93,6 +102,7 @@
 		if p.changed {
 			changed = true
 			p.number(&fences, m.omit.newFence)
+			moves = append(moves, p.moves()...)
 		}
 		tables = append(tables, p.table())
 	}
@@ -104,7 +114,7 @@
 	m.change = rec.Change
 	rec.Fences = fences
 	rec.Tables = tables
-	m.append(rec)
+	m.append(rec, moves)
 }
 
 // serviceNames returns the services that have ranges or shall have some, sorted.
@@ -231,7 +241,7 @@
 	}
 	sort.SliceStable(orphans, func(i, j int) bool { return orphans[i].load > orphans[j].load })
 	for i := range orphans {
-		p.give(&orphans[i], p.leastUsed(orphans[i].load))
+		p.give(&orphans[i], p.leastUsed(orphans[i].load), CauseOrphan)
 	}
 	p.ranges = append(out, orphans...)
 	p.sort()
@@ -257,7 +267,7 @@
 		}
 		r := planned{Range: keyrange.Range{From: keyrange.Key(from), To: keyrange.Key(to)}}
 		r.load = p.weights.span(r.From, r.To)
-		p.give(&r, n)
+		p.give(&r, n, CauseFirst)
 		out = append(out, r)
 		from = to + 1
 	}
@@ -265,7 +275,8 @@
 }
 
 // give moves r to n. The former owner joins the holders to be released.
-func (p *servicePlan) give(r *planned, n *node) {
+func (p *servicePlan) give(r *planned, n *node, cause Cause) {
+	p.moved = append(p.moved, given{from: r.From, before: r.Owner, cause: cause})
 	if r.owner != nil {
 		r.owner.load -= r.load
 	}
@@ -327,6 +338,25 @@
 	}
 }
 
+// moves tells what was given away. A range that was given twice, or joined to
+// another since, shows as it is now.
+func (p *servicePlan) moves() []Move {
+	mean := p.weights.total / p.capacity()
+	table := p.table()
+	var out []Move
+	for _, g := range p.moved {
+		r := table.Find(g.from)
+		if r == nil || r.Owner == g.before {
+			continue
+		}
+		move := Move{Service: p.service, Range: *r, Before: g.before, Cause: g.cause}
+		move.Load = p.weights.span(r.From, r.To) / p.weights.total
+		move.Use = p.byID[r.Owner].use() / mean
+		out = append(out, move)
+	}
+	return out
+}
+
 func (p *servicePlan) table() keyrange.Table {
 	t := keyrange.Table{Service: p.service}
 	for _, r := range p.ranges {
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 )
@@ -43,8 +42,14 @@
 	}
 	if result != assigner.CallOK {
 		c.stats.GrantFails.Add(1)
-		c.logger.Warn("cluster: grant failed", zap.String("server", a.Range.Owner.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
-			zap.Uint16("from", uint16(a.Range.From)), zap.Uint8("result", uint8(result)), zap.Error(err))
+		c.write(event.GrantFailed{
+			Server: a.Range.Owner.ID,
+			Fence:  uint64(a.Range.Fence),
+			From:   uint16(a.Range.From),
+			To:     uint16(a.Range.To),
+			Result: result.String(),
+			Error:  event.ErrorText(err),
+		})
 	}
 	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
 	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
@@ -65,8 +70,14 @@
 		call := hostlink.Call{Address: a.Address, Range: a.Range, Release: true}
 		result, handover = c.relay(call, result, c.cfg.Clock()+releaseTimeout)
 	}
-	c.logger.Info("cluster: keys released", zap.String("server", a.Holder.ID), zap.Uint64("fence", uint64(a.Range.Fence)),
-		zap.Uint16("from", uint16(a.Range.From)), zap.Uint16("to", uint16(a.Range.To)), zap.Uint8("result", uint8(result)), zap.Error(err))
+	c.write(event.KeysReleased{
+		Server: a.Holder.ID,
+		Fence:  uint64(a.Range.Fence),
+		From:   uint16(a.Range.From),
+		To:     uint16(a.Range.To),
+		Result: result.String(),
+		Error:  event.ErrorText(err),
+	})
 	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
 	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
 }
@@ -89,7 +100,7 @@
 		}
 		answer, err := c.relayThrough(h, call, left)
 		if err != nil {
-			c.logger.Debug("cluster: relay failed", zap.String("through", h.Name), zap.Error(err))
+			c.write(event.RelayFailed{Through: h.Name, Address: call.Address, Error: err.Error()})
 			if fault.KindOf(err) != fault.DialFailed {
 				result = assigner.CallFailed
 			}
@@ -142,7 +153,7 @@
 		out.Result, err = c.backends.Grant(ctx, call.Address, call.Range, hold, call.Handover)
 	}
 	if err != nil {
-		c.logger.Debug("cluster: relayed call failed", zap.String("address", call.Address), zap.Error(err))
+		c.write(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
 	}
 	return out, nil
 }
@@ -153,6 +164,11 @@
 		v.Suspects = list
 		v.Asked = max(v.Asked+1, c.machine.Epoch()<<askedBits)
 	})
+	names := make([]string, 0, len(list))
+	for _, s := range list {
+		names = append(names, s.Holder.ID)
+	}
+	c.write(event.ServersSuspected{Servers: names})
 	c.trySuspects(list)
 }
 
@@ -173,6 +189,6 @@
 		c.report.Reached = append(c.report.Reached, s.Holder)
 	}
 	c.mu.Unlock()
-	c.logger.Info("cluster: suspect tried", zap.String("server", s.Holder.ID), zap.Error(err))
+	c.write(event.SuspectTried{Server: s.Holder.ID, Address: s.Address, Refused: fault.IsRefused(err), Error: event.ErrorText(err)})
 	c.reportNow()
 }
--- a/cluster/changes.go
+++ b/cluster/changes.go
@@ -1,9 +1,8 @@
 package cluster
 
 import (
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 )
 
 // logServers writes a line for each backend server that came, left, or changed
@@ -14,23 +13,28 @@
 		before := old.Find(v.Holder.ID)
 		switch {
 		case before == nil:
-			c.logServer("backend server found", v, now)
+			c.write(event.ServerFound(serverLine(v, now)))
 		case before.Holder != v.Holder:
-			c.logServer("backend server restarted", v, now)
+			c.write(event.ServerRestarted(serverLine(v, now)))
 		case before.State != v.State || before.Address != v.Address:
-			c.logServer("backend server changed", v, now)
+			c.write(event.ServerChanged(serverLine(v, now)))
 		}
 	}
 	for i := range old.Servers {
 		v := &old.Servers[i]
 		if now.Find(v.Holder.ID) == nil {
-			c.logServer("backend server gone", v, now)
+			c.write(event.ServerGone(serverLine(v, now)))
 		}
 	}
 }
 
-func (c *Cluster) logServer(what string, v *directory.Server, s *directory.Snapshot) {
-	c.logger.Info("cluster: "+what, zap.String("server", v.Holder.ID), zap.Int64("born", v.Holder.Born),
-		zap.String("service", v.Service), zap.String("address", v.Address), zap.String("state", string(v.State)),
-		zap.Uint64("directory", s.Version.Change))
+func serverLine(v *directory.Server, s *directory.Snapshot) event.Server {
+	return event.Server{
+		ID:        v.Holder.ID,
+		Born:      v.Holder.Born,
+		Service:   v.Service,
+		Address:   v.Address,
+		State:     string(v.State),
+		Directory: s.Version.Change,
+	}
 }
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 )
 
 // Times of the control loop.
@@ -83,6 +85,13 @@
 	troubled     time.Duration // since when confirmations fail, 0 when they do not
 	stopping     bool
 	ledBefore    bool
+	followed     uint64 // epoch of the assigner that was heard last
+	silent       bool   // it did not answer the last question
+	outage       outage
+
+	// confirmed is when an assigner last confirmed the map of owners to this host,
+	// in nanoseconds of the clock.
+	confirmed atomic.Int64
 
 	mu     sync.Mutex // guards report
 	report assigner.Report
@@ -100,6 +109,7 @@
 	Releases   Counter
 	Epochs     Counter
 	MapChanges Counter
+	Moves      Counter
 }
 
 // New returns a cluster that is not started.
@@ -149,6 +159,11 @@
 // View returns the newest view.
 func (c *Cluster) View() *View { return c.views.current.Load() }
 
+// MapAge returns how long ago an assigner confirmed the map of owners.
+func (c *Cluster) MapAge() time.Duration { return c.cfg.Clock() - time.Duration(c.confirmed.Load()) }
+
+func (c *Cluster) write(e event.Event) { event.Write(c.logger, e) }
+
 // Stats returns the counters.
 func (c *Cluster) Stats() *Stats { return &c.stats }
 
@@ -178,7 +193,7 @@
 	c.post(func() {
 		c.stopping = true
 		c.machine.Resign(c.cfg.Clock())
-		c.logger.Info("cluster: planned stop, another host may become the assigner")
+		c.write(event.ResignBegun{Epoch: c.machine.Epoch()})
 	})
 }
 
@@ -233,6 +248,9 @@
 
 func (c *Cluster) noteRole(now time.Duration) {
 	leads := c.machine.Leads(now)
+	if leads {
+		c.confirmed.Store(int64(now))
+	}
 	if c.machine.StoreTroubled(now) && c.troubled == 0 {
 		c.troubled = now
 	} else if !c.machine.StoreTroubled(now) {
@@ -243,7 +261,7 @@
 	}
 	c.ledBefore = leads
 	c.stats.Epochs.Add(1)
-	c.logger.Info("cluster: role changed", zap.Bool("assigner", leads), zap.Uint64("epoch", c.machine.Epoch()))
+	c.write(event.RoleChanged{Assigner: leads, Epoch: c.machine.Epoch(), SilenceMS: event.Millis(c.machine.Silence(now))})
 	c.wakeFollower()
 }
 
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
@@ -171,7 +170,7 @@
 	defer cancel()
 	a, err := c.peers.Sync(ctx, q.to.Peer, &q.body)
 	if err != nil {
-		c.logger.Debug("cluster: assigner did not answer", zap.String("assigner", q.to.Name), zap.Error(err))
+		c.post(func() { c.noteSilent(q, err) })
 		return false
 	}
 	c.post(func() { c.takeAnswer(a) })
@@ -182,6 +181,7 @@
 	now := c.cfg.Clock()
 	if a.Leads {
 		c.machine.HeardAssigner(now, a.Epoch)
+		c.noteFollowed(now, a)
 	}
 	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
 	if a.Abandoned {
@@ -198,7 +198,7 @@
 		if m := a.Map.Unpack(); m != nil {
 			c.takeMap(m)
 		} else {
-			c.logger.Warn("cluster: invalid map from another host", zap.Uint64("epoch", a.Epoch))
+			c.write(event.MapInvalid{Epoch: a.Epoch})
 		}
 	}
 	if a.Asked > c.View().Asked && a.Leads {
@@ -207,6 +207,30 @@
 	}
 }
 
+// noteSilent notes that the assigner did not answer, once for each time that it
+// falls silent.
+func (c *Cluster) noteSilent(q question, err error) {
+	if c.silent || c.ctx.Err() != nil {
+		return
+	}
+	c.silent = true
+	c.write(event.AssignerSilent{Assigner: q.to.Name, Epoch: q.body.Epoch, Error: err.Error()})
+}
+
+// noteFollowed notes that the assigner answered.
+func (c *Cluster) noteFollowed(now time.Duration, a *hostlink.Answer) {
+	if a.Epoch < c.followed {
+		return
+	}
+	c.silent = false
+	c.confirmed.Store(int64(now))
+	if a.Epoch == c.followed {
+		return
+	}
+	c.followed = a.Epoch
+	c.write(event.AssignerFollowed{Assigner: a.Assigner.Name, Epoch: a.Epoch})
+}
+
 // takeDirectory takes a directory, or the changes to the one that is known.
 func (c *Cluster) takeDirectory(a *hostlink.Answer) {
 	if a.Servers != nil {
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-
-	"go.uber.org/zap"
+	"sync"
+	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
@@ -17,7 +18,7 @@
 	if err == nil && data != nil {
 		rec := &assigner.Record{}
 		if err := json.Unmarshal(data, rec); err != nil {
-			c.logger.Error("cluster: unreadable assignment record", zap.Error(err))
+			c.write(event.RecordUnreadable{Error: err.Error()})
 			e.Result = assigner.StoreFailed
 		}
 		e.Record = rec
@@ -32,7 +33,7 @@
 	start := c.cfg.Clock()
 	data, err := json.Marshal(a.Record)
 	if err != nil {
-		c.logger.Error("cluster: record not encodable", zap.Error(err))
+		c.write(event.RecordUnwritable{Error: err.Error()})
 		c.post(func() {
 			c.machine.StepAppended(c.cfg.Clock(), assigner.Appended{Result: assigner.StoreFailed})
 		})
@@ -40,8 +41,17 @@
 	}
 	end, err := c.store.AppendAssignment(ctx, a.At, data)
 	e := assigner.Appended{Result: c.storeResult("append an assignment", err), Start: start, End: end}
-	c.logger.Info("cluster: assignment recorded", zap.Uint64("epoch", a.Record.Epoch),
-		zap.Uint64("change", a.Record.Change), zap.Uint64("at", a.At), zap.Int("bytes", len(data)), zap.Error(err))
+	c.write(event.AssignmentRecorded{
+		Epoch:  a.Record.Epoch,
+		Change: a.Record.Change,
+		At:     a.At,
+		Bytes:  len(data),
+		TookMS: event.Millis(c.cfg.Clock() - start),
+		Error:  event.ErrorText(err),
+	})
+	if err == nil {
+		c.noteMoves(a)
+	}
 	c.post(func() { c.machine.StepAppended(c.cfg.Clock(), e) })
 }
 
@@ -52,19 +62,74 @@
 	c.post(func() { c.machine.StepConfirmed(c.cfg.Clock(), e) })
 }
 
+func (c *Cluster) noteMoves(a assigner.Append) {
+	for _, m := range a.Moves {
+		c.stats.Moves.Add(1)
+		c.write(event.RangeMoved{
+			Service:  m.Service,
+			From:     uint16(m.Range.From),
+			To:       uint16(m.Range.To),
+			Owner:    m.Range.Owner.ID,
+			Before:   m.Before.ID,
+			Fence:    uint64(m.Range.Fence),
+			Why:      string(m.Cause),
+			Load:     m.Load,
+			OwnerUse: m.Use,
+			Epoch:    a.Record.Epoch,
+			Change:   a.Record.Change,
+		})
+	}
+}
+
 // storeResult tells the machine how a call ended and logs a failure.
 func (c *Cluster) storeResult(what string, err error) assigner.StoreResult {
-	c.stats.StoreCalls.Add(1)
-	if err == nil {
+	c.noteStore(what, err)
+	switch {
+	case err == nil:
 		return assigner.StoreOK
-	}
-	c.stats.StoreFails.Add(1)
-	c.logger.Warn("cluster: store call failed", zap.String("call", what), zap.Error(err))
-	switch fault.KindOf(err) {
-	case fault.LogConflict:
+	case fault.KindOf(err) == fault.LogConflict:
 		return assigner.StoreConflict
-	case fault.InDoubt:
+	case fault.KindOf(err) == fault.InDoubt:
 		return assigner.StoreDoubt
 	}
 	return assigner.StoreFailed
 }
+
+// outage counts the calls to the store that fail in a row.
+type outage struct {
+	mu     sync.Mutex
+	since  time.Duration
+	failed int
+}
+
+// noteStore notes how a call to the store ended. A conflict is an answer.
+func (c *Cluster) noteStore(what string, err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.stats.StoreCalls.Add(1)
+	if err == nil || fault.KindOf(err) == fault.LogConflict || fault.KindOf(err) == fault.LogGap {
+		c.noteStoreAnswered()
+		return
+	}
+	c.stats.StoreFails.Add(1)
+	c.outage.mu.Lock()
+	defer c.outage.mu.Unlock()
+	c.outage.failed++
+	if c.outage.failed == 1 {
+		c.outage.since = c.cfg.Clock()
+		c.write(event.StoreLost{Call: what, Error: err.Error()})
+		return
+	}
+	c.write(event.StoreCallFailed{Call: what, Error: err.Error()})
+}
+
+func (c *Cluster) noteStoreAnswered() {
+	c.outage.mu.Lock()
+	defer c.outage.mu.Unlock()
+	if c.outage.failed == 0 {
+		return
+	}
+	c.write(event.StoreRegained{AfterMS: event.Millis(c.cfg.Clock() - c.outage.since), Failed: c.outage.failed})
+	c.outage.failed = 0
+}
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -5,10 +5,9 @@
 	"sort"
 	"strconv"
 
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
@@ -27,9 +26,23 @@
 	}
 	m.KeepGranted(old)
 	c.stats.MapChanges.Add(1)
+	c.noteMap(m)
 	c.views.change(func(v *View) { v.Owners = m })
 }
 
+func (c *Cluster) noteMap(m *keyrange.Map) {
+	e := event.MapTaken{Epoch: m.Version.Epoch, Change: m.Version.Change}
+	for _, t := range m.Tables {
+		e.Ranges += len(t.Ranges)
+		for _, r := range t.Ranges {
+			if r.Granted {
+				e.Granted++
+			}
+		}
+	}
+	c.write(e)
+}
+
 // takeServers publishes a directory that differs from the last one.
 func (c *Cluster) takeServers(s *directory.Snapshot) {
 	if old := c.View().Servers; old.Version != s.Version {
@@ -56,14 +69,18 @@
 func (c *Cluster) takeConfig(data []byte) {
 	table, err := c.store.DecodeConfig(data)
 	if err != nil {
-		c.logger.Error("cluster: configuration unusable, keeping the last one", zap.Error(err))
+		c.write(event.ConfigUnusable{Error: err.Error()})
 		return
 	}
-	if old := c.View().Routes; old != nil && table.Version <= old.Version {
+	before := uint64(0)
+	if old := c.View().Routes; old != nil {
+		before = old.Version
+	}
+	if before != 0 && table.Version <= before {
 		return
 	}
 	c.rawConfig = data
-	c.logger.Info("cluster: configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", table.Routes))
+	c.write(event.ConfigInForce{Version: table.Version, Before: before, Routes: table.Routes})
 	c.views.change(func(v *View) { v.Routes = table })
 	c.tellMachine(c.View().Servers)
 }
@@ -88,6 +105,7 @@
 	c.machine.SetHosts(len(c.hosts))
 	n := len(c.hosts)
 	if c.View().Hosts != n {
+		c.write(event.HostsKnown{Hosts: n})
 		c.views.change(func(v *View) { v.Hosts = n })
 	}
 }
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
@@ -70,6 +69,7 @@
 			c.sleep(pause.next())
 			continue
 		}
+		c.noteStore("read the configuration", nil)
 		pause = 0
 		if data != nil {
 			c.post(func() { c.takeConfig(data) })
@@ -110,6 +110,7 @@
 			c.sleep(pause.next())
 			continue
 		}
+		c.noteStore("read the hosts", nil)
 		pause = 0
 		known, next = true, after
 		if len(hosts) > 0 {
@@ -166,6 +167,7 @@
 			c.sleep(pause.next())
 			continue
 		}
+		c.noteStore("read the backend servers", nil)
 		pause = 0
 		if epoch == 0 && w.snapshot.Version != before {
 			w.snapshot = w.snapshot.WithEpoch(0) // found without the assigner
@@ -211,7 +213,7 @@
 	}
 	if w.failed >= outageReads && now-w.failing > outageGap {
 		w.grace = now + returnGrace
-		c.logger.Info("cluster: store is back, lapsed entries are kept for a while")
+		c.write(event.LapsesHeldBack{ForMS: event.Millis(returnGrace)})
 	}
 	w.failing, w.failed = 0, 0
 	if full {
@@ -232,7 +234,7 @@
 		if err == nil || fault.KindOf(err) != fault.LogGap {
 			return changes, next, false, err
 		}
-		c.logger.Warn("cluster: history of the backend servers is gone, loading all entries", zap.Error(err))
+		c.write(event.HistoryGone{Error: err.Error()})
 	}
 	all, next, err := c.store.AllServers(ctx)
 	return all, next, true, err
@@ -276,14 +278,6 @@
 	w.snapshot = w.snapshot.Fold(gone, w.snapshot.Next)
 }
 
-func (c *Cluster) noteStore(what string, err error) {
-	if c.ctx.Err() != nil {
-		return
-	}
-	c.stats.StoreFails.Add(1)
-	c.logger.Warn("cluster: store call failed", zap.String("call", what), zap.Error(err))
-}
-
 // sleep waits for d or until the cluster stops.
 func (c *Cluster) sleep(d time.Duration) {
 	t := time.NewTimer(d)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,6 +18,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/gateway"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
@@ -75,17 +76,20 @@
 
 // Host is a running entry host.
 type Host struct {
-	opts    Options
-	logger  *zap.Logger
-	cluster *cluster.Cluster
-	gateway *gateway.Gateway
-	traffic *http.Server
-	ready   *http.Server
-	metrics *http.Server
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	opts        Options
+	logger      *zap.Logger
+	incarnation string // names this run of the process
+	cluster     *cluster.Cluster
+	gateway     *gateway.Gateway
+	traffic     *http.Server
+	ready       *http.Server
+	metrics     *http.Server
+	stop        context.CancelFunc
+	running     sync.WaitGroup
 }
 
+func (h *Host) write(e event.Event) { event.Write(h.logger, e) }
+
 // Module is the fx module of an entry host. It needs Options, cluster.Store,
 // cluster.Backends and a logger.
 var Module = fx.Module("edge", fx.Provide(New), fx.Invoke(register))
@@ -104,7 +108,7 @@
 	logger = logger.With(zap.String("host", opts.Host))
 	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds, Small: opts.small()}, store, backends, hostlink.NewPool(), logger)
 	g := gateway.New(opts.Gateway, c, logger)
-	h := &Host{opts: opts, logger: logger.Named("edge"), cluster: c, gateway: g}
+	h := &Host{opts: opts, logger: logger.Named("edge"), incarnation: self.Incarnation, cluster: c, gateway: g}
 	h.traffic = &http.Server{Handler: g, ErrorLog: zap.NewStdLog(logger.Named("http"))}
 	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: defaultHeaderTime}
 	h.metrics = &http.Server{Handler: http.HandlerFunc(h.serveMetrics), ReadHeaderTimeout: defaultHeaderTime}
@@ -133,7 +137,13 @@
 		return err
 	}
 	h.spawn(func() { h.sweep(ctx) })
-	h.logger.Info("edge: started", zap.String("traffic", h.opts.Traffic), zap.String("peer", h.opts.Peer))
+	h.write(event.HostStarted{
+		Incarnation: h.incarnation,
+		Domain:      h.opts.Gateway.Domain,
+		Traffic:     h.opts.Traffic,
+		Peer:        h.opts.Peer,
+		Metrics:     h.opts.Metrics,
+	})
 	return nil
 }
 
@@ -166,7 +176,7 @@
 // report logs why a server ended, unless it was closed.
 func (h *Host) report(what string, f func() error) {
 	if err := f(); err != nil && err != http.ErrServerClosed {
-		h.logger.Warn("edge: server ended", zap.String("server", what), zap.Error(err))
+		h.write(event.ListenerEnded{Server: what, Error: err.Error()})
 	}
 }
 
@@ -198,12 +208,12 @@
 // while no assigner is known. Its own addresses stay until its restart.
 func (h *Host) Reload(opts Options) {
 	h.cluster.SetSeeds(opts.Seeds)
-	h.logger.Info("edge: settings reloaded", zap.Strings("seeds", opts.Seeds))
+	h.write(event.SettingsReloaded{Seeds: opts.Seeds})
 }
 
 // KeepSettings logs that changed settings are unusable.
 func (h *Host) KeepSettings(err error) {
-	h.logger.Error("edge: settings unusable, keeping the last ones", zap.Error(err))
+	h.write(event.SettingsKept{Error: err.Error()})
 }
 
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -237,7 +247,7 @@
 // to the end, so that no connection waits in its queue unanswered.
 func (h *Host) Stop(context.Context) error {
 	begin := time.Now()
-	h.logger.Info("edge: planned stop begins", zap.Int64("active", h.gateway.Active()))
+	h.write(event.StopBegun{Active: h.gateway.Active()})
 	h.gateway.Stop()
 	h.cluster.Resign()
 	time.Sleep(min(leaveRotation, h.opts.StopGrace/2))
@@ -245,7 +255,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	if err := h.traffic.Shutdown(ctx); err != nil {
-		h.logger.Warn("edge: connections were still open at the end", zap.Int64("active", h.gateway.Active()), zap.Error(err))
+		h.write(event.ConnectionsLeft{Active: h.gateway.Active(), Error: err.Error()})
 	}
 	h.stop()
 	h.cluster.Stop()
@@ -253,7 +263,7 @@
 	_ = h.metrics.Close() // any more
 	h.gateway.Shutdown()
 	h.running.Wait()
-	h.logger.Info("edge: stopped", zap.Duration("took", time.Since(begin)))
+	h.write(event.HostStopped{TookMS: event.Millis(time.Since(begin))})
 	return nil
 }
 
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,216 @@
+// Package event holds the closed list of log lines of an entry host: one type
+// for each decision that touches a request, and for each change of what the host
+// believes. A line is written from its type, and read back into it.
+package event
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+// Event is one line of the log. The fields of its struct, named by their json
+// tags, are the fields of the line.
+type Event interface {
+	// Text says in one sentence what happened.
+	Text() string
+}
+
+// kind is a row of the list of events.
+type kind struct {
+	message string // the line's message, with the prefix of its part
+	level   zapcore.Level
+	event   reflect.Type
+}
+
+func row[E Event](level zapcore.Level, message string) kind {
+	return kind{message: message, level: level, event: reflect.TypeFor[E]()}
+}
+
+const (
+	info = zapcore.InfoLevel
+	warn = zapcore.WarnLevel
+	fail = zapcore.ErrorLevel
+)
+
+// kinds is the closed list.
+var kinds = []kind{
+	row[HostStarted](info, "edge: started"),
+	row[StopBegun](info, "edge: planned stop begins"),
+	row[ConnectionsLeft](warn, "edge: connections were still open at the end"),
+	row[HostStopped](info, "edge: stopped"),
+	row[SettingsReloaded](info, "edge: settings reloaded"),
+	row[SettingsKept](fail, "edge: settings unusable, keeping the last ones"),
+	row[ListenerEnded](warn, "edge: server ended"),
+
+	row[RequestTaken](info, "gateway: request taken"),
+	row[RequestSent](info, "gateway: request sent"),
+	row[SendFailed](info, "gateway: send failed"),
+	row[SecondTry](info, "gateway: request is sent again"),
+	row[SecondTryDenied](info, "gateway: request is not sent again"),
+	row[RequestAnswered](info, "gateway: request answered"),
+	row[RequestRefused](info, "gateway: request not answered"),
+	row[CallerLeft](info, "gateway: caller left"),
+	row[AnswerBroken](warn, "gateway: answer broken off"),
+	row[BudgetSpent](warn, "gateway: budget of second tries spent"),
+
+	row[RoleChanged](info, "cluster: role changed"),
+	row[AssignerFollowed](info, "cluster: assigner followed"),
+	row[AssignerSilent](info, "cluster: assigner silent"),
+	row[RelayFailed](info, "cluster: relay failed"),
+	row[RelayedCallFailed](info, "cluster: relayed call failed"),
+	row[ResignBegun](info, "cluster: planned stop, another host may become the assigner"),
+	row[AssignmentRecorded](info, "cluster: assignment recorded"),
+	row[RecordUnreadable](fail, "cluster: assignment record unreadable"),
+	row[RecordUnwritable](fail, "cluster: assignment record not encodable"),
+	row[RangeMoved](info, "cluster: keys moved"),
+	row[KeysReleased](info, "cluster: keys released"),
+	row[GrantFailed](warn, "cluster: grant failed"),
+	row[MapTaken](info, "cluster: map taken"),
+	row[MapInvalid](warn, "cluster: invalid map from another host"),
+	row[ServerFound](info, "cluster: backend server found"),
+	row[ServerRestarted](info, "cluster: backend server restarted"),
+	row[ServerChanged](info, "cluster: backend server changed"),
+	row[ServerGone](info, "cluster: backend server gone"),
+	row[ServersSuspected](info, "cluster: backend servers suspected"),
+	row[SuspectTried](info, "cluster: suspect tried"),
+	row[HostsKnown](info, "cluster: entry hosts known"),
+	row[ConfigInForce](info, "cluster: configuration in force"),
+	row[ConfigUnusable](fail, "cluster: configuration unusable, keeping the last one"),
+	row[StoreCallFailed](warn, "cluster: store call failed"),
+	row[StoreLost](warn, "cluster: store lost"),
+	row[StoreRegained](info, "cluster: store regained"),
+	row[LapsesHeldBack](info, "cluster: store is back, lapsed entries are kept for a while"),
+	row[HistoryGone](warn, "cluster: history of the backend servers is gone, loading all entries"),
+
+	row[LinesLeftOut](info, "log: lines left out"),
+}
+
+var (
+	byType    = map[reflect.Type]kind{}
+	byMessage = map[string]kind{}
+	layouts   = map[reflect.Type][]field{}
+)
+
+func init() {
+	for _, k := range kinds {
+		byType[k.event] = k
+		byMessage[k.message] = k
+		layouts[k.event] = layoutOf(k.event)
+	}
+}
+
+// field is a field of an event as it is written.
+type field struct {
+	index     int
+	name      string
+	omitEmpty bool
+}
+
+func layoutOf(t reflect.Type) []field {
+	var out []field
+	for i := range t.NumField() {
+		name, options, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		out = append(out, field{index: i, name: name, omitEmpty: options == "omitempty"})
+	}
+	return out
+}
+
+// Message returns the message of e's line.
+func Message(e Event) string { return byType[reflect.TypeOf(e)].message }
+
+// Write writes e's line, unless the logger leaves it out.
+func Write(logger *zap.Logger, e Event) {
+	k := byType[reflect.TypeOf(e)]
+	if ce := logger.Check(k.level, k.message); ce != nil {
+		ce.Write(Fields(e)...)
+	}
+}
+
+// Fields returns the fields of e's line.
+func Fields(e Event) []zap.Field {
+	v := reflect.ValueOf(e)
+	layout := layouts[v.Type()]
+	out := make([]zap.Field, 0, len(layout))
+	for _, f := range layout {
+		value := v.Field(f.index)
+		if f.omitEmpty && value.IsZero() {
+			continue
+		}
+		out = append(out, zapField(f.name, value))
+	}
+	return out
+}
+
+func zapField(name string, v reflect.Value) zap.Field {
+	switch v.Kind() {
+	case reflect.String:
+		return zap.String(name, v.String())
+	case reflect.Bool:
+		return zap.Bool(name, v.Bool())
+	case reflect.Int, reflect.Int64:
+		return zap.Int64(name, v.Int())
+	case reflect.Uint16, reflect.Uint64:
+		return zap.Uint64(name, v.Uint())
+	case reflect.Float64:
+		return zap.Float64(name, v.Float())
+	}
+	return zap.Any(name, v.Interface())
+}
+
+// ErrorText returns err's text for a line, "" for none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Millis returns d in milliseconds, to a tenth.
+func Millis(d time.Duration) float64 {
+	return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// Line is a line of a log that was read back.
+type Line struct {
+	Time  time.Time `json:"time"`
+	Host  string    `json:"host"`
+	Event Event     `json:"event"`
+}
+
+// header holds the fields that every line has.
+type header struct {
+	Time    time.Time `json:"ts"`
+	Host    string    `json:"host"`
+	Message string    `json:"msg"`
+}
+
+// Parse reads a line. What stands before its first brace, such as the prefix of a
+// log collector, is left out. Errors are of kind BadMessage; a line of a message
+// that is not in the list is NotFound.
+func Parse(text []byte) (Line, error) {
+	start := strings.IndexByte(string(text), '{')
+	if start < 0 {
+		return Line{}, fault.New(fault.BadMessage, "the line holds no JSON object")
+	}
+	text = text[start:]
+	var h header
+	if err := json.Unmarshal(text, &h); err != nil {
+		return Line{}, fault.Wrap(fault.BadMessage, err, "read a log line")
+	}
+	k, ok := byMessage[h.Message]
+	if !ok {
+		return Line{}, fault.Newf(fault.NotFound, "no event has the message %q", h.Message)
+	}
+	e := reflect.New(k.event)
+	if err := json.Unmarshal(text, e.Interface()); err != nil {
+		return Line{}, fault.Wrap(fault.BadMessage, err, "read the fields of "+h.Message)
+	}
+	return Line{Time: h.Time, Host: h.Host, Event: e.Elem().Interface().(Event)}, nil
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
@@ -36,24 +34,32 @@
 	}
 	g.closeIfStopping(h)
 	w.WriteHeader(a.Status)
-	_, err := w.Write(a.Body)
+	n, err := w.Write(a.Body)
+	passed := int64(n)
 	if a.Rest != nil {
-		err = g.answerRest(w, a, err)
+		passed, err = answerRest(w, a, passed, err)
+	}
+	if err == nil {
+		g.noteAnswered(q, a.Status)
+		return
 	}
-	g.noteAnswered(q, a.Status, err)
+	if q.in.Context().Err() != nil {
+		g.noteLeft(q, err)
+	} else {
+		g.noteBroken(q, passed, err)
+	}
+	panic(http.ErrAbortHandler) // an answer that is cut off must not look complete
 }
 
-// answerRest passes the rest of a long answer on. An answer that is cut off must
-// not look complete, so the caller's connection is broken.
-func (g *Gateway) answerRest(w http.ResponseWriter, a *upstream.Response, err error) error {
+// answerRest passes the rest of a long answer on. It returns the number of bytes
+// that the caller was sent, passed included.
+func answerRest(w io.Writer, a *upstream.Response, passed int64, err error) (int64, error) {
 	defer a.Rest.Close()
-	if err == nil {
-		_, err = io.Copy(w, a.Rest)
-	}
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return passed, err
 	}
-	return nil
+	n, err := io.Copy(w, a.Rest)
+	return passed + n, err
 }
 
 func (g *Gateway) closeIfStopping(h http.Header) {
@@ -64,20 +70,23 @@
 
 // refuse answers a request that no backend server answered. Q may lack its route.
 func (g *Gateway) refuse(w http.ResponseWriter, q *request, err error) {
+	if q.in.Context().Err() != nil {
+		g.noteLeft(q, err)
+		panic(http.ErrAbortHandler) // the caller has left
+	}
 	status := g.refusalStatus(q, err)
 	h := w.Header()
 	if q.id != "" {
 		h.Set(g.cfg.Headers.RequestID, q.id)
 	}
 	h.Set("Content-Type", textType)
+	retry := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", retryAfter(err))
+		retry = retryAfter(err)
+		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
 	g.closeIfStopping(h)
-	g.noteRefused(q, status, err)
-	if q.in.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // the caller has left
-	}
+	g.noteRefused(q, status, err, retry)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, string(fault.KindOf(err))+"\n") // the caller may have left
 }
@@ -105,8 +114,8 @@
 	return status
 }
 
-// retryAfter returns the seconds that a caller is told to wait.
-func retryAfter(err error) string {
+// retryAfter returns how long a caller is told to wait.
+func retryAfter(err error) time.Duration {
 	d := retryOther
 	var e *fault.Error
 	if errors.As(err, &e) && e.RetryAfter > 0 {
@@ -114,32 +123,5 @@
 	} else if fault.KindOf(err) == fault.NotAccepted {
 		d = retryFull
 	}
-	d += time.Duration(retrySpread * rand.Float64() * float64(d))
-	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
-}
-
-func (g *Gateway) noteAnswered(q *request, status int, err error) {
-	g.Metrics.answered(q, status, time.Since(q.arrived))
-	if err != nil {
-		g.logger.Info("gateway: caller left during the answer", zap.String("request", q.id), zap.Error(err))
-	}
-}
-
-func (g *Gateway) noteFailed(q *request, s *server, err error, took time.Duration) {
-	g.Metrics.sendFailed(err)
-	g.logger.Info("gateway: send failed", zap.String("request", q.id), zap.String("server", s.Holder.ID),
-		zap.String("address", s.Address), zap.Int("send", q.sends), zap.Duration("took", took), zap.Error(err))
-}
-
-func (g *Gateway) noteRefused(q *request, status int, err error) {
-	g.Metrics.refused(q, status, err)
-	g.logger.Info("gateway: request not answered", zap.String("request", q.id), zap.Int("status", status),
-		zap.String("route", q.routeName()), zap.Int("sends", q.sends), zap.Duration("after", time.Since(q.arrived)), zap.Error(err))
-}
-
-func (q *request) routeName() string {
-	if q.route == nil {
-		return ""
-	}
-	return q.route.Name
+	return d + time.Duration(retrySpread*rand.Float64()*float64(d))
 }
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -21,7 +21,15 @@
 type budget struct {
 	rule  BudgetRule
 	slots [budgetSlots]budgetSlot
-	last  int64 // number of the newest slice
+	last  int64         // number of the newest slice
+	told  time.Duration // when it was last told that the budget is spent
+}
+
+// budgetState is what a decision on a second try depends on.
+type budgetState struct {
+	requests int // in the window
+	tries    int
+	allowed  float64
 }
 
 type budgetSlot struct{ requests, tries int }
@@ -44,15 +52,29 @@
 // try takes one second try and reports whether it is allowed.
 func (b *budget) try(now time.Duration, hosts int) bool {
 	slot := b.advance(now)
-	requests, tries := 0, 0
+	if s := b.state(hosts); float64(s.tries+1) > s.allowed {
+		return false
+	}
+	slot.tries++
+	return true
+}
+
+// state adds the window up. The caller has advanced it.
+func (b *budget) state(hosts int) budgetState {
+	var out budgetState
 	for _, s := range b.slots {
-		requests += s.requests
-		tries += s.tries
+		out.requests += s.requests
+		out.tries += s.tries
 	}
-	allowed := b.rule.Ratio*float64(requests) + b.rule.Extra/float64(max(hosts, 1))
-	if float64(tries+1) > budgetMargin*allowed {
+	out.allowed = budgetMargin * (b.rule.Ratio*float64(out.requests) + b.rule.Extra/float64(max(hosts, 1)))
+	return out
+}
+
+// tell reports whether it is to be told that the budget is spent: once a window.
+func (b *budget) tell(now time.Duration) bool {
+	if b.told > 0 && now-b.told < b.rule.Window {
 		return false
 	}
-	slot.tries++
+	b.told = now
 	return true
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/upstream"
@@ -160,6 +161,7 @@
 		q.sentAny = true
 	}
 	q.noteTried(s.Holder.ID)
+	g.noteSent(q, s, time.Since(q.ready))
 	start := time.Now()
 	s.begin()
 	a, err := s.conns.Do(q.ctx, g.outgoing(q, s))
@@ -257,32 +259,80 @@
 // again reports whether q may be sent again after err. It waits as long as that
 // helps.
 func (g *Gateway) again(q *request, s *server, err error) bool {
-	if q.ctx.Err() != nil || q.sentAny || q.sends >= maxSends {
+	q.ready = time.Now()
+	if why := g.mayRepeat(q, s, err); why != "" {
+		g.noteDenied(q, err, why)
 		return false
 	}
+	g.noteAgain(q, err, time.Since(q.ready))
+	return true
+}
+
+// mayRepeat returns why q may not be sent again after err, or "".
+func (g *Gateway) mayRepeat(q *request, s *server, err error) event.Reason {
+	switch {
+	case q.ctx.Err() != nil:
+		return event.ReasonEnded
+	case q.sentAny:
+		return event.ReasonStreamed
+	case q.sends >= maxSends:
+		return event.ReasonSends
+	}
 	switch fault.KindOf(err) {
 	case fault.Refused:
 		g.control.AddRefused(s.Holder)
-		return q.keyed && g.waitForNews(q, s, q.target()/2) || !q.keyed
+		if q.keyed && !g.waitForNews(q, s, q.target()/2) {
+			return event.ReasonNoNews
+		}
+		return ""
 	case fault.DialFailed, fault.Overloaded, fault.NotSent:
-		return true
+		return ""
 	case fault.StaleToken:
-		if !q.keyed {
-			return g.secondTry(q.service.Name)
-		}
-		// Without news the owner may hold the key again, under a renewed grant.
-		again := g.waitForNews(q, s, afterStale) || q.sends == 1 && q.ctx.Err() == nil
-		return again && g.secondTry(q.service.Name)
+		return g.mayRepeatStale(q, s)
 	case fault.NotAccepted:
-		s.full(time.Now().Add(fullTime))
-		if q.left() < q.target()/4 || !g.secondTry(q.service.Name) {
-			return false
-		}
-		return !q.keyed || q.pause(afterFull*time.Duration(q.sends))
+		return g.mayRepeatShed(q, s)
 	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch:
-		return !q.once() && g.secondTry(q.service.Name)
+		if q.once() {
+			return event.ReasonMayRun
+		}
+		return g.takeTry(q)
+	}
+	return event.ReasonKind
+}
+
+// mayRepeatStale decides on a request whose server does not hold its key. Without
+// news the owner may hold the key again, under a renewed grant.
+func (g *Gateway) mayRepeatStale(q *request, s *server) event.Reason {
+	if q.keyed && !g.waitForNews(q, s, afterStale) && q.sends > 1 {
+		return event.ReasonNoNews
+	}
+	if q.ctx.Err() != nil {
+		return event.ReasonEnded
+	}
+	return g.takeTry(q)
+}
+
+// mayRepeatShed decides on a request that its server shed.
+func (g *Gateway) mayRepeatShed(q *request, s *server) event.Reason {
+	s.full(time.Now().Add(fullTime))
+	if q.left() < q.target()/4 {
+		return event.ReasonNoTime
+	}
+	if why := g.takeTry(q); why != "" {
+		return why
+	}
+	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
+		return event.ReasonEnded
+	}
+	return ""
+}
+
+// takeTry takes a second try from the budget of q's service.
+func (g *Gateway) takeTry(q *request) event.Reason {
+	if !g.secondTry(q.service.Name) {
+		return event.ReasonBudget
 	}
-	return false
+	return ""
 }
 
 // waitForNews waits until the key has another owner than the server that was
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
@@ -27,6 +28,8 @@
 	AddLoad(service string, key keyrange.Key)
 	AddTime(server string, took time.Duration)
 	AddRefused(h keyrange.Holder)
+	// MapAge returns how long ago an assigner confirmed the map of owners.
+	MapAge() time.Duration
 }
 
 // Config holds what a gateway needs to know of its host.
@@ -119,7 +122,16 @@
 	hosts := g.control.View().Hosts
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(service).try(time.Since(g.started), hosts)
+	b := g.budget(service)
+	now := time.Since(g.started)
+	if b.try(now, hosts) {
+		return true
+	}
+	if b.tell(now) {
+		s := b.state(hosts)
+		g.write(event.BudgetSpent{Service: service, Requests: s.requests, Tries: s.tries, Allowed: s.allowed, Hosts: hosts})
+	}
+	return false
 }
 
 // budget returns the budget of a service. The caller holds mu.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,10 +9,15 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
-// samples is the number of values that a latency histogram keeps.
-const samples = 256
+const (
+	// samples is the number of values that a histogram keeps.
+	samples = 256
+	// newest is how strongly a histogram prefers recent values; this one forgets
+	// within about five minutes.
+	newest = 0.015
+)
 
-// Metrics counts what became of requests.
+// Metrics counts what became of requests. docs/OPERATIONS.md lists the names.
 type Metrics struct{ Registry metrics.Registry }
 
 func newMetrics() *Metrics { return &Metrics{Registry: metrics.NewRegistry()} }
@@ -21,15 +26,32 @@
 	metrics.GetOrRegisterCounter(name, m.Registry).Inc(1)
 }
 
+// time adds a duration to a histogram of milliseconds.
+func (m *Metrics) time(name string, d time.Duration) {
+	h := m.Registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(samples, newest))
+	}).(metrics.Histogram)
+	h.Update(d.Milliseconds())
+}
+
 func (m *Metrics) answered(q *request, status int, took time.Duration) {
 	m.count("answered." + q.service.Name + "." + strconv.Itoa(status))
-	h := m.Registry.GetOrRegister("latency_ms."+q.service.Name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewUniformSample(samples))
-	}).(metrics.Histogram)
-	h.Update(took.Milliseconds())
+	outcome := "in_time"
+	if took > q.target() {
+		outcome = "late"
+	}
+	m.time("latency_ms."+q.service.Name+"."+q.route.Name+"."+outcome, took)
+}
+
+// waited notes how long a request waited for an owner and for room before it was
+// sent first.
+func (m *Metrics) waited(q *request, d time.Duration) {
+	if q.sends == 1 {
+		m.time("queue_ms."+q.service.Name, d)
+	}
 }
 
-func (m *Metrics) refused(q *request, status int, err error) {
+func (m *Metrics) refused(status int, err error) {
 	m.count("not_answered." + strconv.Itoa(status) + "." + string(fault.KindOf(err)))
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,11 +39,16 @@
 	sentAny bool      // some byte of rest may have been taken
 
 	arrived  time.Time
+	ready    time.Time // since when it waits for an owner and for room
 	deadline time.Time // the earlier of the caller's and the route's
 	ctx      context.Context
 	cancel   context.CancelFunc
 
+	config  uint64 // version of the configuration that it was matched by
+	sampled bool   // every line about it is written
+
 	tried []string // ids of the backend servers that it was sent to
+	last  string   // the one of its last send
 	sends int
 	// failure is a server's whole answer that says it failed. It is the answer if
 	// no later send has one.
@@ -70,6 +75,8 @@
 // returned also with an error, for the log.
 func (g *Gateway) accept(r *http.Request) (*request, error) {
 	q := &request{in: r, id: r.Header.Get(g.cfg.Headers.RequestID), arrived: time.Now()}
+	q.ready = q.arrived
+	q.sampled = sampled(q.id)
 	view := g.control.View()
 	if g.closed.Load() {
 		return q, fault.New(fault.NotReady, "this host is stopping")
@@ -77,6 +84,7 @@
 	if view.Routes == nil {
 		return q, fault.New(fault.NotReady, "no configuration is known yet")
 	}
+	q.config = view.Routes.Version
 	q.uri = requestURI(r)
 	path, _, _ := strings.Cut(q.uri, "?")
 	q.route = view.Routes.Match(r.Host, path)
@@ -100,6 +108,7 @@
 	if q.keyed {
 		g.control.AddLoad(name, q.key)
 	}
+	g.noteTaken(q)
 	return q, nil
 }
 
@@ -174,6 +183,7 @@
 
 func (q *request) noteTried(id string) {
 	q.sends++
+	q.last = id
 	if !q.triedBefore(id) {
 		q.tried = append(q.tried, id)
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -80,6 +80,14 @@
 	}
 }
 
+// state returns the number of requests that this host has at the server and their
+// limit.
+func (r *room) state() (used, limit int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.used, int(r.limit)
+}
+
 // queue adds w behind those that are as urgent.
 func (r *room) queue(w *waiter) {
 	i := sort.Search(len(r.waiting), func(i int) bool { return r.waiting[i].priority > w.priority })
--- /dev/null
+++ b/gateway/trace.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+// sampleEvery is the number of requests of which one has every line written,
+// whatever becomes of it. The choice depends on the request's id alone.
+const sampleEvery = 32
+
+// sampled reports whether every line of a request is written.
+func sampled(id string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum32()%sampleEvery == 0
+}
+
+func (g *Gateway) write(e event.Event) { event.Write(g.logger, e) }
+
+// age returns how old the map of owners is, in milliseconds.
+func (g *Gateway) age() float64 { return event.Millis(g.control.MapAge()) }
+
+// mapVersion returns the epoch and the change of a view's map.
+func mapVersion(v *cluster.View) (epoch, change uint64) {
+	if v.Owners == nil {
+		return 0, 0
+	}
+	return v.Owners.Version.Epoch, v.Owners.Version.Change
+}
+
+func (g *Gateway) noteTaken(q *request) {
+	if !q.sampled {
+		return
+	}
+	g.write(event.RequestTaken{
+		Request:    q.id,
+		Route:      q.routeName(),
+		Service:    q.service.Name,
+		Keyed:      q.keyed,
+		Key:        uint16(q.key),
+		Bytes:      q.length,
+		Config:     q.config,
+		DeadlineMS: event.Millis(q.left()),
+	})
+}
+
+func (g *Gateway) noteSent(q *request, s *server, waited time.Duration) {
+	g.Metrics.waited(q, waited)
+	if !q.sampled {
+		return
+	}
+	view := g.control.View()
+	epoch, change := mapVersion(view)
+	used, limit := s.room.state()
+	g.write(event.RequestSent{
+		Request:     q.id,
+		Server:      s.Holder.ID,
+		Address:     s.Address,
+		Send:        q.sends,
+		Keyed:       q.keyed,
+		Key:         uint16(q.key),
+		MapEpoch:    epoch,
+		MapChange:   change,
+		MapAgeMS:    g.age(),
+		Directory:   view.Servers.Version.Change,
+		WaitedMS:    event.Millis(waited),
+		Outstanding: used,
+		Room:        limit,
+	})
+}
+
+func (g *Gateway) noteFailed(q *request, s *server, err error, took time.Duration) {
+	g.Metrics.sendFailed(err)
+	epoch, change := mapVersion(g.control.View())
+	g.write(event.SendFailed{
+		Request:    q.id,
+		Server:     s.Holder.ID,
+		Address:    s.Address,
+		Send:       q.sends,
+		TookMS:     event.Millis(took),
+		Kind:       fault.KindOf(err),
+		MayHaveRun: mayHaveRun(err),
+		Keyed:      q.keyed,
+		Key:        uint16(q.key),
+		MapEpoch:   epoch,
+		MapChange:  change,
+		MapAgeMS:   g.age(),
+		Error:      err.Error(),
+	})
+}
+
+func (g *Gateway) noteAgain(q *request, err error, waited time.Duration) {
+	g.Metrics.count("second_tries." + q.service.Name)
+	g.write(event.SecondTry{
+		Request:  q.id,
+		Send:     q.sends,
+		Kind:     fault.KindOf(err),
+		LeftMS:   event.Millis(q.left()),
+		WaitedMS: event.Millis(waited),
+	})
+}
+
+func (g *Gateway) noteDenied(q *request, err error, why event.Reason) {
+	if why == event.ReasonBudget {
+		g.Metrics.count("second_tries_denied." + q.service.Name)
+	}
+	g.write(event.SecondTryDenied{
+		Request: q.id,
+		Send:    q.sends,
+		Kind:    fault.KindOf(err),
+		Reason:  why,
+		LeftMS:  event.Millis(q.left()),
+	})
+}
+
+// noteAnswered writes the line of an answer that tells of trouble, and of a
+// sampled request.
+func (g *Gateway) noteAnswered(q *request, status int) {
+	took := time.Since(q.arrived)
+	g.Metrics.answered(q, status, took)
+	late := took > q.target()
+	if !q.sampled && !late && status < 500 {
+		return
+	}
+	g.write(event.RequestAnswered{
+		Request:  q.id,
+		Route:    q.routeName(),
+		Service:  q.service.Name,
+		Server:   q.lastTried(),
+		Status:   status,
+		Sends:    q.sends,
+		TookMS:   event.Millis(took),
+		TargetMS: event.Millis(q.route.Target),
+	})
+}
+
+func (g *Gateway) noteRefused(q *request, status int, err error, retry time.Duration) {
+	g.Metrics.refused(status, err)
+	outcome := fault.NotRun
+	if q.mayHaveRun {
+		outcome = fault.Unknown
+	}
+	epoch, change := mapVersion(g.control.View())
+	g.write(event.RequestRefused{
+		Request:   q.id,
+		Route:     q.routeName(),
+		Service:   q.serviceName(),
+		Keyed:     q.keyed,
+		Key:       uint16(q.key),
+		Status:    status,
+		Outcome:   outcome,
+		Kind:      fault.KindOf(err),
+		Sends:     q.sends,
+		AfterMS:   event.Millis(time.Since(q.arrived)),
+		RetryMS:   event.Millis(retry),
+		Config:    q.config,
+		MapEpoch:  epoch,
+		MapChange: change,
+		MapAgeMS:  g.age(),
+		Error:     err.Error(),
+	})
+}
+
+func (g *Gateway) noteLeft(q *request, err error) {
+	g.Metrics.count("callers_left")
+	g.write(event.CallerLeft{
+		Request: q.id,
+		Route:   q.routeName(),
+		Sends:   q.sends,
+		AfterMS: event.Millis(time.Since(q.arrived)),
+		Error:   event.ErrorText(err),
+	})
+}
+
+func (g *Gateway) noteBroken(q *request, passed int64, err error) {
+	g.Metrics.count("answers_broken")
+	g.write(event.AnswerBroken{
+		Request: q.id,
+		Server:  q.lastTried(),
+		Bytes:   passed,
+		AfterMS: event.Millis(time.Since(q.arrived)),
+		Error:   event.ErrorText(err),
+	})
+}
+
+func (q *request) routeName() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Name
+}
+
+func (q *request) serviceName() string {
+	if q.service == nil {
+		return ""
+	}
+	return q.service.Name
+}
+
+// lastTried returns the server that the request was sent to last, "" for none.
+func (q *request) lastTried() string { return q.last }
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -12,8 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
 )
 
 const (
@@ -104,9 +105,9 @@
 	}
 	pass, summary := c.limiter.take(e.Message)
 	for message, n := range summary {
-		s := zapcore.Entry{Level: zapcore.InfoLevel, Time: e.Time, LoggerName: "log", Message: "log: lines left out"}
-		fields := []zapcore.Field{zap.String("of", message), zap.Int("lines", n), zap.Int64("dropped", c.writer.Dropped())}
-		_ = c.Write(s, fields) // the writer never fails
+		left := event.LinesLeftOut{Of: message, Lines: n, Dropped: c.writer.Dropped()}
+		s := zapcore.Entry{Level: zapcore.InfoLevel, Time: e.Time, LoggerName: "log", Message: event.Message(left)}
+		_ = c.Write(s, event.Fields(left)) // the writer never fails
 	}
 	if !pass {
 		return ce
