--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -76,6 +76,9 @@
 	grantSpread = 400 * time.Millisecond
 	// slowStore is how long a confirmation may take before grants are lengthened.
 	slowStore = 250 * time.Millisecond
+	// askPause is the pause between questions about the same suspects: every answer
+	// and every request that meets one reports it again.
+	askPause = 100 * time.Millisecond
 	// planEvery is the pause between plans.
 	planEvery = 200 * time.Millisecond
 	// publishEvery is the longest pause between changes of grants and their publication.
@@ -142,7 +145,11 @@
 	sharded  []string
 	firstSee map[string]Time
 	suspects *suspects
+	// askAgain says that a server is suspected whose hosts are to be asked, askNow
+	// that it was not asked about before. askedAt is when they were asked last.
 	askAgain bool
+	askNow   bool
+	askedAt  Time
 	load     *loads
 	planned  Time
 	dirty    bool
@@ -228,6 +235,7 @@
 	if h.ID == "" || m.suspects.unreachable(now, h) {
 		return
 	}
+	m.askNow = m.askNow || m.suspects.all[h] == nil
 	if !m.suspects.refused(now, from, h) {
 		m.askAgain = true
 		return
@@ -245,10 +253,10 @@
 
 // askHosts asks every host about the suspects.
 func (m *Machine) askHosts(now Time) {
-	if !m.askAgain {
+	if !m.askAgain || !m.askNow && now-m.askedAt < askPause {
 		return
 	}
-	m.askAgain = false
+	m.askAgain, m.askNow, m.askedAt = false, false, now
 	var list []Suspect
 	for _, h := range m.suspects.open(now) {
 		if addr := m.address(h); addr != "" {
--- a/assigner/suspects.go
+++ b/assigner/suspects.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"sort"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
@@ -132,5 +133,6 @@
 			out = append(out, h)
 		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
--- /dev/null
+++ b/assigner/suspects_test.go
@@ -0,0 +1,68 @@
+package assigner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+// asks runs the machine for d while hosts report that they found no process at
+// some servers, as they do at each question and with each request. It returns the
+// questions asked.
+func (c *calm) asks(d time.Duration, hosts []string, suspects func() []keyrange.Holder) [][]Suspect {
+	var out [][]Suspect
+	for end := c.now + d; c.now < end; c.now += time.Millisecond {
+		for _, h := range hosts {
+			c.m.AddReport(c.now, h, Report{Refused: suspects()})
+		}
+		c.m.Tick(c.now)
+		for _, a := range c.m.Ready() {
+			switch a := a.(type) {
+			case Ask:
+				out = append(out, a.Suspects)
+			case Confirm:
+				c.m.StepConfirmed(c.now, Confirmed{Start: c.now, End: c.end})
+			}
+		}
+	}
+	return out
+}
+
+func holders(ids ...string) []keyrange.Holder {
+	out := make([]keyrange.Holder, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, keyrange.Holder{ID: id, Born: 1})
+	}
+	return out
+}
+
+// Pattern: a server refuses connections, and every request for its keys reports it.
+// The hosts are asked at a bounded rate, whatever the rate of the reports.
+func TestSuspectsAreAskedAboutAtABoundedRate(t *testing.T) {
+	c := newCalm(4, equal)
+	c.run(time.Second)
+	c.m.SetHosts(3)
+	c.m.AddReport(c.now, "entry-3", Report{}) // heard, and reaches the server
+	asked := c.asks(500*time.Millisecond, []string{"entry-2"}, func() []keyrange.Holder { return holders("s001") })
+	require.NotEmpty(t, asked)
+	require.LessOrEqual(t, len(asked), 6, "every 100 ms at most")
+}
+
+// A server that is suspected anew is asked about at once.
+func TestNewSuspectIsAskedAboutAtOnce(t *testing.T) {
+	c := newCalm(4, equal)
+	c.run(time.Second)
+	c.m.SetHosts(3)
+	c.m.AddReport(c.now, "entry-3", Report{})
+	first := c.asks(5*time.Millisecond, []string{"entry-2"}, func() []keyrange.Holder { return holders("s001") })
+	require.Len(t, first, 1)
+	second := c.asks(5*time.Millisecond, []string{"entry-2"}, func() []keyrange.Holder { return holders("s001", "s002") })
+	require.Len(t, second, 1)
+	require.Equal(t, []Suspect{
+		{Holder: keyrange.Holder{ID: "s001", Born: 1}, Address: "s001"},
+		{Holder: keyrange.Holder{ID: "s002", Born: 1}, Address: "s002"},
+	}, second[0], "in the order of their ids")
+}
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -33,6 +33,7 @@
 	CA        string `arg:"--ca,env:LACEWINGSADDLE_CA" placeholder:"FILE" help:"authority of the hosts' certificates, for an https admin address"`
 	Cert      string `arg:"--cert,env:LACEWINGSADDLE_CERT" placeholder:"FILE" help:"the operator's certificate"`
 	Key       string `arg:"--key-file,env:LACEWINGSADDLE_KEY_FILE" placeholder:"FILE" help:"the certificate's private key"`
+	Store     string `arg:"--store,env:LACEWINGSADDLE_STORE" placeholder:"HOST:PORT" help:"address of the platform's store; status and owners then read it instead of asking a host"`
 	JSON      bool   `arg:"--json" help:"print JSON for machines"`
 }
 
@@ -121,8 +122,9 @@
 
 // ExplainCmd explains a key or a request.
 type ExplainCmd struct {
-	Subject string `arg:"positional,required" placeholder:"KEY|REQUEST-ID"`
-	Service string `arg:"--service" help:"default: every service that is divided by key"`
+	Subject string   `arg:"positional,required" placeholder:"KEY|REQUEST-ID"`
+	Service string   `arg:"--service" help:"default: every service that is divided by key"`
+	Logs    []string `arg:"--logs" placeholder:"FILE" help:"explain a request from the logs of entry hosts on the platform, instead of asking a host"`
 }
 
 // MoveCmd moves a shard.
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -169,3 +169,39 @@
 	require.NoError(t, table.flush())
 	require.Equal(t, "a?[2Jb  c?d\n", out.String())
 }
+
+// A request is explained from files of hosts' logs without asking a host.
+func TestExplainFromLogs(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry-1.log")
+	line := `{"ts":"2026-12-04T10:00:00Z","host":"entry-1","msg":"gateway: request not answered","request":"r1","status":503,"outcome":"not-run","kind":"queue-timeout","error":"no room"}`
+	require.NoError(t, os.WriteFile(file, []byte(line+"\n"), 0o600))
+	run := func(line ...string) (int, string) {
+		var args Arguments
+		parser, err := arg.NewParser(arg.Config{IgnoreEnv: true}, &args)
+		require.NoError(t, err)
+		require.NoError(t, parser.Parse(line))
+		var out bytes.Buffer
+		code, ok := args.Run(t.Context(), Env{Stdout: &out, Stderr: &out, Getenv: func(string) string { return "" }})
+		require.True(t, ok)
+		return code, out.String()
+	}
+	code, out := run("explain", "r1", "--logs", file)
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "10:00:00.000  entry-1  refused with 503")
+	require.Contains(t, out, "The request did not run (status 503).")
+	code, out = run("explain", "r1", "--json", "--logs", file)
+	require.Equal(t, ExitOK, code, out)
+	var x struct {
+		Steps []struct {
+			Message string         `json:"message"`
+			Event   map[string]any `json:"event"`
+		} `json:"steps"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(out), &x))
+	require.Equal(t, "gateway: request not answered", x.Steps[0].Message)
+	require.Equal(t, "queue-timeout", x.Steps[0].Event["kind"])
+	code, _ = run("explain", "r2", "--logs", file)
+	require.Equal(t, ExitNotFound, code)
+	code, _ = run("explain", "r1", "--logs", file+".none")
+	require.Equal(t, ExitInvalid, code)
+}
--- a/cli/run.go
+++ b/cli/run.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/client"
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/platform"
 )
 
 // Env is what a command takes from its surroundings.
@@ -19,13 +21,17 @@
 	Getenv         func(string) string
 	Now            func() time.Time
 	Transport      http.RoundTripper // nil means the usual one
+	// OpenStore returns a client of the platform's store at an address.
+	OpenStore func(address string) cluster.Store
 }
 
 // OSEnv returns the process's own surroundings.
 func OSEnv() Env {
-	return Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Now: time.Now}
+	return Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Now: time.Now, OpenStore: openStore}
 }
 
+func openStore(address string) cluster.Store { return platform.NewStore(address) }
+
 // session is one run of a command.
 type session struct {
 	env    Env
@@ -61,6 +67,12 @@
 		return s.documents(a.Profile, "profile")
 	case a.Service != nil:
 		return s.documents(a.Service, "service")
+	case a.Store != "" && a.Status != nil:
+		return s.storeStatus
+	case a.Store != "" && a.Owners != nil:
+		return s.storeOwners
+	case a.Explain != nil && len(a.Explain.Logs) > 0:
+		return s.explainLogs
 	case a.Status != nil:
 		return s.status
 	case a.Hosts != nil:
--- a/event/event.go
+++ b/event/event.go
@@ -193,11 +193,11 @@
 
 // Parse reads a line. What stands before its first brace, such as the prefix of a
 // log collector, is left out. Errors are of kind BadMessage; a line of a message
-// that is not in the list is NotFound.
+// that is not in the list, or of plain text, is NotFound.
 func Parse(text []byte) (Line, error) {
 	start := strings.IndexByte(string(text), '{')
 	if start < 0 {
-		return Line{}, fault.New(fault.BadMessage, "the line holds no JSON object")
+		return Line{}, fault.New(fault.NotFound, "the line holds no JSON object")
 	}
 	text = text[start:]
 	var h header
--- /dev/null
+++ b/requestlog/requestlog.go
@@ -0,0 +1,143 @@
+// Package requestlog explains one request from the logs of several hosts: the
+// lines about it, what the hosts came to believe meanwhile about the servers and
+// keys that it concerned, and what that says of its outcome.
+package requestlog
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+const (
+	// before is how far back lines about servers and keys are looked for: longer
+	// than a lost server's keys need to be granted anew.
+	before = 6 * time.Second
+	// after is how long after the request such lines still say something of it.
+	after = time.Second
+	// maxLine bounds a line, in bytes; a longer one cannot be read.
+	maxLine = 1 << 20
+)
+
+// Log is the log of one or more hosts. It is read twice.
+type Log interface {
+	Open() (io.ReadCloser, error)
+}
+
+// Step is one line of an explanation.
+type Step struct {
+	Time    time.Time   `json:"time"`
+	Host    string      `json:"host"`
+	Message string      `json:"message"`
+	Text    string      `json:"text"`
+	Event   event.Event `json:"event"`
+}
+
+// Explanation is what the logs say of one request.
+type Explanation struct {
+	Request string `json:"request"`
+	// Steps are the lines about the request, Context those about what concerned it,
+	// both in the order of time. Hosts' clocks may differ.
+	Steps   []Step `json:"steps"`
+	Context []Step `json:"context"`
+	// Findings say in sentences what led to the outcome.
+	Findings []string `json:"findings"`
+	// Unread is the number of lines that could not be read.
+	Unread int `json:"unread"`
+}
+
+// Explain reads the logs and explains a request. The error is of kind NotFound when
+// no line names it, and of kind BadSettings when a log cannot be read.
+func Explain(id string, logs []Log) (*Explanation, error) {
+	x := &Explanation{Request: id}
+	own := []byte(`"request":"` + id + `"`)
+	err := scan(logs, func(text []byte) {
+		if bytes.Contains(text, own) {
+			x.addOwn(text)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(x.Steps) == 0 {
+		return nil, fault.Newf(fault.NotFound, "no line names the request %q", id)
+	}
+	byTime(x.Steps)
+	subject := subjectOf(x.Steps)
+	err = scan(logs, func(text []byte) {
+		if !bytes.Contains(text, []byte(`"request":"`)) {
+			x.addContext(subject, text)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	byTime(x.Context)
+	x.Findings = findings(x, subject)
+	return x, nil
+}
+
+func scan(logs []Log, each func(text []byte)) error {
+	for _, l := range logs {
+		if err := scanOne(l, each); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scanOne(l Log, each func(text []byte)) error {
+	r, err := l.Open()
+	if err != nil {
+		return fault.Wrap(fault.BadSettings, err, "open a log")
+	}
+	defer r.Close()
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		each(s.Bytes())
+	}
+	if err := s.Err(); err != nil {
+		return fault.Wrap(fault.BadSettings, err, "read a log")
+	}
+	return nil
+}
+
+func (x *Explanation) addOwn(text []byte) {
+	line, err := event.Parse(text)
+	if err != nil {
+		x.Unread++
+		return
+	}
+	x.Steps = append(x.Steps, stepOf(line))
+}
+
+func (x *Explanation) addContext(s *subject, text []byte) {
+	line, err := event.Parse(text)
+	if err != nil {
+		if fault.KindOf(err) != fault.NotFound { // another program's line
+			x.Unread++
+		}
+		return
+	}
+	if line.Time.Before(s.first.Add(-before)) || line.Time.After(s.last.Add(after)) {
+		return
+	}
+	if s.concerns(line) {
+		x.Context = append(x.Context, stepOf(line))
+	}
+}
+
+func stepOf(l event.Line) Step {
+	return Step{Time: l.Time, Host: l.Host, Message: event.Message(l.Event), Text: l.Event.Text(), Event: l.Event}
+}
+
+func byTime(steps []Step) {
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+}
--- /dev/null
+++ b/requestlog/requestlog_test.go
@@ -0,0 +1,164 @@
+package requestlog
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+// hostLog is the log of one host, written as hosts do.
+type hostLog struct {
+	out  bytes.Buffer
+	host string
+}
+
+var epochStart = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+// at writes an event at a time after the start.
+func (l *hostLog) at(ms int, e event.Event) *hostLog {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	clock := fixedClock(epochStart.Add(time.Duration(ms) * time.Millisecond))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.AddSync(&l.out), zapcore.InfoLevel)
+	event.Write(zap.New(core, zap.WithClock(clock)).With(zap.String("host", l.host)), e)
+	return l
+}
+
+// Open implements Log.
+func (l *hostLog) Open() (io.ReadCloser, error) {
+	return io.NopCloser(strings.NewReader(l.out.String())), nil
+}
+
+// fixedClock is a zapcore.Clock that stands still.
+type fixedClock time.Time
+
+func (c fixedClock) Now() time.Time                       { return time.Time(c) }
+func (c fixedClock) NewTicker(time.Duration) *time.Ticker { return time.NewTicker(time.Hour) }
+
+func texts(steps []Step) []string {
+	out := make([]string, 0, len(steps))
+	for _, s := range steps {
+		out = append(out, fmt.Sprintf("%s %s", s.Host, s.Message))
+	}
+	return out
+}
+
+// A keyed request that was lost in a change of owner is told with the move, found
+// in the log of another host.
+func TestRequestLostInAMove(t *testing.T) {
+	entry := &hostLog{host: "entry-1"}
+	entry.at(100, event.SendFailed{Request: "r1", Server: "s1", Kind: fault.StaleToken, Keyed: true, Key: 77, Error: "stale-token: moved"}).
+		at(220, event.SecondTryDenied{Request: "r1", Kind: fault.StaleToken, Reason: event.ReasonNoNews}).
+		at(221, event.RequestRefused{Request: "r1", Service: "stock", Keyed: true, Key: 77, Status: 503, Outcome: fault.NotRun, Kind: fault.Moving, Error: "moving"}).
+		at(221, event.RequestRefused{Request: "r10", Service: "stock", Status: 503, Kind: fault.Moving})
+	leader := &hostLog{host: "entry-2"}
+	leader.at(60, event.RangeMoved{Service: "stock", From: 50, To: 90, Before: "s1", Owner: "s2", Fence: 9, Why: "load is uneven", Epoch: 3, Change: 4}).
+		at(61, event.RangeMoved{Service: "stock", From: 91, To: 99, Before: "s1", Owner: "s2"}).
+		at(62, event.RangeMoved{Service: "orders", From: 50, To: 90, Before: "o1", Owner: "o2"}).
+		at(150, event.GrantFailed{Server: "s2", From: 50, To: 90, Result: "no answer"}).
+		at(-9000, event.ServerGone{ID: "s1"})
+
+	x, err := Explain("r1", []Log{leader, entry})
+	require.NoError(t, err)
+	require.Equal(t, []string{"entry-1 gateway: send failed", "entry-1 gateway: request is not sent again", "entry-1 gateway: request not answered"}, texts(x.Steps))
+	require.Equal(t, []string{"entry-2 cluster: keys moved", "entry-2 cluster: grant failed"}, texts(x.Context))
+	require.Equal(t, []string{
+		"The request did not run (status 503).",
+		"It was not sent again: its key got no other owner in time.",
+		"No owner of the key had taken its grant within the time that the latency target leaves.",
+		"Its key moved from s1 to s2 under token 9, as recorded in 3.4: load is uneven.",
+		"s2 did not take the grant of its key: no answer.",
+	}, x.Findings)
+}
+
+// An order whose answer is unknown names the server that knows.
+func TestOrderWithoutAnswer(t *testing.T) {
+	entry := &hostLog{host: "entry-1"}
+	entry.at(0, event.RequestTaken{Request: "r1", Service: "orders"}).
+		at(1, event.RequestSent{Request: "r1", Server: "o1"}).
+		at(900, event.SendFailed{Request: "r1", Server: "o1", Kind: fault.AnswerCut, MayHaveRun: true}).
+		at(901, event.SecondTryDenied{Request: "r1", Kind: fault.AnswerCut, Reason: event.ReasonMayRun}).
+		at(902, event.RequestRefused{Request: "r1", Service: "orders", Status: 502, Outcome: fault.Unknown, Kind: fault.AnswerCut}).
+		at(1500, event.ServerGone{ID: "o1"}).
+		at(1500, event.ServerGone{ID: "o2"})
+	x, err := Explain("r1", []Log{entry})
+	require.NoError(t, err)
+	require.Equal(t, []string{"entry-1 cluster: backend server gone"}, texts(x.Context))
+	require.Contains(t, x.Findings[0], "not known whether the request ran (status 502)")
+	require.Contains(t, x.Findings, "It was not sent again: it may have run and is not idempotent.")
+	require.Contains(t, x.Findings, "The connection to the server ended without a whole answer.")
+	require.Contains(t, x.Findings, "entry-1 saw o1 leave the list of backend servers.")
+}
+
+// A request that was refused under load tells of the budget and of lines left out.
+func TestRequestRefusedUnderLoad(t *testing.T) {
+	entry := &hostLog{host: "entry-1"}
+	entry.at(10, event.BudgetSpent{Service: "stock", Tries: 5}).
+		at(15, event.LinesLeftOut{Of: "gateway: request not answered", Lines: 90}).
+		at(20, event.RequestRefused{Request: "r1", Service: "stock", Status: 503, Outcome: fault.NotRun, Kind: fault.QueueTimeout})
+	other := &hostLog{host: "entry-2"}
+	other.at(12, event.BudgetSpent{Service: "stock"}).at(13, event.StoreLost{Call: "read"})
+	x, err := Explain("r1", []Log{entry, other})
+	require.NoError(t, err)
+	require.Equal(t, []string{"entry-1 gateway: budget of second tries spent", "entry-1 log: lines left out"}, texts(x.Context))
+	require.Contains(t, x.Findings, causes[fault.QueueTimeout])
+	require.Contains(t, x.Findings, `entry-1 left out 90 lines of "gateway: request not answered".`)
+}
+
+// Every end of a request has its outcome told.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		last event.Event
+		says string
+	}{
+		{event.RequestAnswered{Request: "r", Server: "s", Status: 200}, "answered by s"},
+		{event.RequestAnswered{Request: "r", Server: "s", Status: 500}, "ran at s, which answered that it failed"},
+		{event.CallerLeft{Request: "r"}, "caller left"},
+		{event.AnswerBroken{Request: "r", Server: "s"}, "broken off"},
+		{event.RequestSent{Request: "r", Server: "s"}, "does not hold the request's end"},
+	}
+	for _, c := range cases {
+		log := &hostLog{host: "h"}
+		x, err := Explain("r", []Log{log.at(0, c.last)})
+		require.NoError(t, err)
+		require.Contains(t, x.Findings[0], c.says)
+	}
+}
+
+// Every kind of error with which a request can end has a sentence.
+func TestEveryRefusalHasACause(t *testing.T) {
+	for _, k := range []fault.Kind{
+		fault.NotReady, fault.NoService, fault.NoKey, fault.TooLarge, fault.Moving, fault.NoOwner, fault.QueueTimeout, fault.Overloaded,
+		fault.NotAccepted, fault.StaleToken, fault.Refused, fault.DialFailed, fault.AnswerCut, fault.SendFailed, fault.Timeout, fault.AnswerMismatch, fault.NotSent,
+	} {
+		require.NotEmpty(t, causes[k], k)
+	}
+}
+
+func TestUnknownRequestAndBrokenLines(t *testing.T) {
+	log := &hostLog{host: "h"}
+	log.at(0, event.CallerLeft{Request: "r"})
+	log.out.WriteString("{\"ts\": \n" + `{"ts":"2026-12-04T10:00:00Z","msg":"of another program"}` + "\n\n")
+	_, err := Explain("none", []Log{log})
+	require.Equal(t, fault.NotFound, fault.KindOf(err))
+	x, err := Explain("r", []Log{log})
+	require.NoError(t, err)
+	require.Equal(t, 1, x.Unread, "the cut line")
+	_, err = Explain("r", []Log{missing{}})
+	require.Equal(t, fault.BadSettings, fault.KindOf(err))
+}
+
+// missing is a log that cannot be opened.
+type missing struct{}
+
+func (missing) Open() (io.ReadCloser, error) { return nil, io.ErrUnexpectedEOF }
--- /dev/null
+++ b/requestlog/subject.go
@@ -0,0 +1,103 @@
+package requestlog
+
+import (
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+)
+
+// subject is what a request concerned: which lines of others say something of it.
+type subject struct {
+	first, last time.Time
+	hosts       map[string]bool // that handled it
+	servers     map[string]bool // that it was sent to
+	service     string
+	keyed       bool
+	key         uint16
+}
+
+func subjectOf(steps []Step) *subject {
+	s := &subject{
+		first:   steps[0].Time,
+		last:    steps[len(steps)-1].Time,
+		hosts:   map[string]bool{},
+		servers: map[string]bool{},
+	}
+	for _, step := range steps {
+		s.hosts[step.Host] = true
+		s.learn(step.Event)
+	}
+	return s
+}
+
+func (s *subject) learn(e event.Event) {
+	switch e := e.(type) {
+	case event.RequestTaken:
+		s.service = e.Service
+		s.setKey(e.Keyed, e.Key)
+	case event.RequestSent:
+		s.servers[e.Server] = true
+		s.setKey(e.Keyed, e.Key)
+	case event.SendFailed:
+		s.servers[e.Server] = true
+		s.setKey(e.Keyed, e.Key)
+	case event.RequestAnswered:
+		s.service = e.Service
+		s.servers[e.Server] = true
+	case event.RequestRefused:
+		s.service = e.Service
+		s.setKey(e.Keyed, e.Key)
+	}
+}
+
+func (s *subject) setKey(keyed bool, key uint16) {
+	if keyed {
+		s.keyed, s.key = true, key
+	}
+}
+
+// holdsKey reports whether the request's key lies in a range.
+func (s *subject) holdsKey(from, to uint16) bool { return s.keyed && from <= s.key && s.key <= to }
+
+// concerns reports whether a line says something of the request: of its host, of a
+// server that it was sent to, or of its key.
+func (s *subject) concerns(l event.Line) bool {
+	switch e := l.Event.(type) {
+	case event.RangeMoved:
+		return e.Service == s.service && s.holdsKey(e.From, e.To)
+	case event.KeysReleased:
+		return s.holdsKey(e.From, e.To)
+	case event.GrantFailed:
+		return s.holdsKey(e.From, e.To)
+	case event.ServerFound:
+		return s.servers[e.ID]
+	case event.ServerRestarted:
+		return s.servers[e.ID]
+	case event.ServerChanged:
+		return s.servers[e.ID]
+	case event.ServerGone:
+		return s.servers[e.ID]
+	case event.SuspectTried:
+		return s.servers[e.Server]
+	case event.ServersSuspected:
+		return s.anyServer(e.Servers)
+	case event.RoleChanged:
+		return true
+	case event.BudgetSpent:
+		return s.hosts[l.Host] && e.Service == s.service
+	case event.MapTaken:
+		return s.hosts[l.Host] && !l.Time.Before(s.first) && !l.Time.After(s.last)
+	case event.RelayFailed, event.RelayedCallFailed, event.AssignmentRecorded:
+		return false
+	}
+	return s.hosts[l.Host]
+}
+
+func (s *subject) anyServer(ids []string) bool {
+	for _, id := range ids {
+		if s.servers[id] {
+			return true
+		}
+	}
+	return false
+}
