--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -260,6 +260,7 @@
 		return
 	}
 	c.ledBefore = leads
+	c.views.change(func(v *View) { v.Leads = leads })
 	c.stats.Epochs.Add(1)
 	c.write(event.RoleChanged{Assigner: leads, Epoch: c.machine.Epoch(), SilenceMS: event.Millis(c.machine.Silence(now))})
 	c.wakeFollower()
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -19,6 +19,7 @@
 	// the number Asked.
 	Suspects []assigner.Suspect
 	Asked    uint64
+	Leads    bool // this host is the assigner
 	// Next is closed when a newer view is published.
 	Next chan struct{}
 }
--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -69,7 +69,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(options(settings)),
+		fx.Supply(withCounter(options(settings), output)),
 		fx.Provide(
 			func() *zap.Logger { return newLogger(output) },
 			func() cluster.Store { return platform.NewStore(settings.Store) },
@@ -102,6 +102,11 @@
 	}
 }
 
+func withCounter(o edge.Options, output *logsink.Writer) edge.Options {
+	o.DroppedLines = output.Dropped
+	return o
+}
+
 func newLogger(output *logsink.Writer) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -60,6 +60,9 @@
 	StopGrace time.Duration // from the stop signal to the kill
 	HoldMax   time.Duration // longest grant that backend servers accept
 	Gateway   gateway.Config
+	// DroppedLines returns the number of log lines that could not be written; nil
+	// where nobody counts them.
+	DroppedLines func() int64
 }
 
 // A host below either figure becomes the assigner only when no other does: the
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -5,14 +5,36 @@
 	"io"
 )
 
+// line is one counter with its value.
+type line struct {
+	name  string
+	value int64
+}
+
+func toNumber(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// dropped returns the number of log lines that found the output full.
+func (h *Host) dropped() int64 {
+	if h.opts.DroppedLines == nil {
+		return 0
+	}
+	return h.opts.DroppedLines()
+}
+
 // writeClusterMetrics writes the counters of the control loop, one a line.
 func (h *Host) writeClusterMetrics(w io.Writer) {
 	s := h.cluster.Stats()
 	v := h.cluster.View()
-	lines := []struct {
-		name  string
-		value int64
-	}{
+	lines := []line{
+		{"assigner", toNumber(v.Leads)},
+		{"map_age_ms", h.cluster.MapAge().Milliseconds()},
+		{"ranges_moved", s.Moves.Value()},
+		{"log_lines_dropped", h.dropped()},
 		{"store_calls", s.StoreCalls.Value()},
 		{"store_calls_failed", s.StoreFails.Value()},
 		{"grants", s.Grants.Value()},
@@ -24,6 +46,12 @@
 		{"entry_hosts", int64(v.Hosts)},
 		{"requests_active", h.gateway.Active()},
 	}
+	if v.Owners != nil {
+		lines = append(lines, line{"map_epoch", int64(v.Owners.Version.Epoch)}, line{"map_change", int64(v.Owners.Version.Change)})
+	}
+	if v.Routes != nil {
+		lines = append(lines, line{"config_version", int64(v.Routes.Version)})
+	}
 	for _, l := range lines {
 		if _, err := fmt.Fprintf(w, "%s %d\n", l.name, l.value); err != nil {
 			return // the reader has left
