--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -55,7 +55,6 @@
 		return
 	}
 	m.loadPause = 0
-	first := !m.loaded
 	m.loaded = true
 	m.end = e.End
 	var rec Record
@@ -65,7 +64,10 @@
 	if m.pending != nil && m.resolve(now, e, rec) {
 		return
 	}
-	newer := m.known.Version().Less(rec.Version()) || rec.Assigner != m.known.Assigner
+	// A follower learns epochs and assigners from others, not every change of the
+	// record: a later change of the epoch that fell silent is no sign of life.
+	newer := rec.Epoch > m.known.Epoch || rec.Assigner != m.known.Assigner
+	later := m.known.Version().Less(rec.Version())
 	m.known = rec
 	if m.role == leading {
 		m.stepDown(now)
@@ -76,13 +78,16 @@
 		return
 	}
 	other := rec.Assigner.Name != "" && rec.Assigner.Name != m.cfg.Self.Name
-	if other && (first || newer) {
+	if other && newer {
 		m.heardAt = now + takeoverTime // another assigner was found: give it time to answer
 		m.publishRecorded(rec)
 		return
 	}
 	if other && now-m.heardAt < m.claimWait() {
 		m.storeRetry = now + m.cfg.SilenceBeforeClaim
+		if later {
+			m.publishRecorded(rec) // this host may be out of the assigner's reach
+		}
 		return
 	}
 	m.claim(now)
--- /dev/null
+++ b/assigner/doubt_test.go
@@ -0,0 +1,82 @@
+package assigner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+)
+
+// doubted is a machine that leads, whose last append got no answer, and which could
+// not read the store until its lease had ended.
+func doubted(t *testing.T) (*calm, Record) {
+	c := newCalm(4, equal)
+	c.run(time.Second)
+	servers := &directory.Snapshot{Servers: c.m.servers.Servers[1:]}
+	c.m.SetServers(c.now, Servers{Snapshot: servers, Sharded: []string{"stock"}})
+	var appended Record
+	for end := c.now + 3*time.Second; c.now < end; c.now += 10 * time.Millisecond {
+		c.m.Tick(c.now)
+		for _, a := range c.m.Ready() {
+			switch a := a.(type) {
+			case Append:
+				appended = a.Record
+				c.m.StepAppended(c.now, Appended{Result: StoreDoubt, Start: c.now})
+			case Load:
+				c.m.StepLoaded(c.now, Loaded{Result: StoreFailed, Start: c.now})
+			case Confirm:
+				c.m.StepConfirmed(c.now, Confirmed{Result: StoreFailed, Start: c.now})
+			}
+		}
+	}
+	require.NotZero(t, appended.Change)
+	require.False(t, c.m.Leads(c.now))
+	return c, appended
+}
+
+// storeShows lets the machine read the store again for a second.
+func (c *calm) storeShows(rec Record, end uint64) {
+	for until := c.now + time.Second; c.now < until; c.now += 10 * time.Millisecond {
+		c.m.Tick(c.now)
+		for _, a := range c.m.Ready() {
+			switch a := a.(type) {
+			case Append:
+				if a.At == end {
+					rec, end = a.Record, end+1
+					c.m.StepAppended(c.now, Appended{Start: c.now, End: end})
+				} else {
+					c.m.StepAppended(c.now, Appended{Result: StoreConflict, Start: c.now})
+				}
+			case Load:
+				shown := rec
+				c.m.StepLoaded(c.now, Loaded{Start: c.now, End: end, Record: &shown})
+			case Confirm:
+				c.m.StepConfirmed(c.now, Confirmed{Start: c.now, End: end})
+			}
+		}
+	}
+}
+
+// What became of an append without an answer is found out also after the lease has
+// ended: this host follows the one that claimed meanwhile, or goes on.
+func TestAppendInDoubtIsSettledAfterTheLease(t *testing.T) {
+	t.Run("another host has claimed", func(t *testing.T) {
+		c, rec := doubted(t)
+		rec.Epoch, rec.Change, rec.Assigner = rec.Epoch+1, 0, Host{Name: "other"}
+		c.storeShows(rec, c.m.End()+1)
+		require.False(t, c.m.Leads(c.now))
+		require.Equal(t, "other", c.m.Assigner().Name)
+	})
+	t.Run("the append was done", func(t *testing.T) {
+		c, rec := doubted(t)
+		c.storeShows(rec, c.m.End()+1)
+		require.True(t, c.m.Leads(c.now))
+	})
+	t.Run("the append was not done", func(t *testing.T) {
+		c, _ := doubted(t)
+		c.storeShows(c.m.known, c.m.End())
+		require.True(t, c.m.Leads(c.now))
+	})
+}
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -44,13 +44,12 @@
 
 func (m *Machine) tickLeading(now Time) {
 	m.confirm(now)
+	m.settleDoubt(now)
 	if !m.mayAct(now) {
 		return
 	}
 	m.askHosts(now)
-	if !m.storeBusy && now >= m.storeRetry {
-		m.planOrResolve(now)
-	}
+	m.planInTime(now)
 	hold := m.holdTime(now)
 	for _, r := range m.ranges {
 		m.driveRange(now, r, hold)
@@ -64,17 +63,22 @@
 	}
 }
 
-// planOrResolve plans, unless the last record is still in doubt.
-func (m *Machine) planOrResolve(now Time) {
-	if m.pending != nil {
-		m.storeBusy = true
-		m.do(Load{})
+// settleDoubt reads the store while the last record is in doubt, also after the
+// lease has ended: without the answer this host could neither act nor step down.
+func (m *Machine) settleDoubt(now Time) {
+	if m.pending == nil || m.storeBusy || now < m.storeRetry {
 		return
 	}
-	if now-m.planned >= planEvery {
-		m.planned = now
-		m.plan(now)
+	m.storeBusy = true
+	m.do(Load{})
+}
+
+func (m *Machine) planInTime(now Time) {
+	if m.pending != nil || m.storeBusy || now < m.storeRetry || now-m.planned < planEvery {
+		return
 	}
+	m.planned = now
+	m.plan(now)
 }
 
 // holdTime returns how long grants last. When the store's trouble begins, every
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -217,7 +217,7 @@
 	}
 	w.failing, w.failed = 0, 0
 	if full {
-		w.snapshot = w.reload(c.View().Servers, changes, next, now)
+		w.snapshot = w.reload(changes, next, now)
 	} else {
 		w.snapshot = w.snapshot.Fold(w.holdBack(changes, now), next)
 	}
@@ -242,17 +242,20 @@
 
 // reload replaces the directory. During the grace time entries that are missing
 // are kept.
-func (w *serverWatch) reload(before *directory.Snapshot, all []directory.Change, next uint64, now time.Duration) *directory.Snapshot {
-	s := w.snapshot.Reload(all, next)
+func (w *serverWatch) reload(all []directory.Change, next uint64, now time.Duration) *directory.Snapshot {
 	if now >= w.grace {
-		return s
+		return w.snapshot.Reload(all, next)
 	}
-	for _, v := range before.Servers {
-		if s.Find(v.Holder.ID) == nil {
+	listed := make(map[string]bool, len(all))
+	for _, ch := range all {
+		listed[ch.ID] = true
+	}
+	for _, v := range w.snapshot.Servers {
+		if !listed[v.Holder.ID] {
 			w.lapsed[v.Holder.ID] = true
 		}
 	}
-	return s.Keep(before)
+	return w.snapshot.Merge(w.holdBack(all, now), next)
 }
 
 // holdBack holds removals back during the grace time.
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -37,6 +37,11 @@
 	cut      map[string]bool // hosts that are turned away
 	gapUntil uint64          // records of servers below are gone
 	timeouts int             // reads of servers that get no answer
+	slow     time.Duration   // how much later every answer comes
+	silent   bool            // no call is answered, and nothing is done
+	// lost makes appends end without an answer; they are done after late.
+	lost bool
+	late time.Duration
 }
 
 // storeOf is the store as one host reaches it.
@@ -46,7 +51,13 @@
 }
 
 func (s storeOf) call(ctx context.Context) error {
-	if err := sleepCtx(ctx, 2*hop); err != nil {
+	s.mu.Lock()
+	slow, silent := s.slow, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	if err := sleepCtx(ctx, 2*hop+slow); err != nil {
 		return fault.Wrap(fault.LogUnavailable, err, "store")
 	}
 	s.mu.Lock()
@@ -85,6 +96,18 @@
 	if err := s.call(ctx); err != nil {
 		return 0, err
 	}
+	s.mu.Lock()
+	lost, late := s.lost, s.late
+	s.mu.Unlock()
+	if !lost {
+		return s.add(at, data)
+	}
+	time.AfterFunc(late, func() { _, _ = s.add(at, data) }) // nobody is told
+	<-ctx.Done()
+	return 0, fault.Wrap(fault.InDoubt, ctx.Err(), "no answer to an append")
+}
+
+func (s *fakeStore) add(at uint64, data []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if uint64(len(s.records)) != at {
@@ -210,6 +233,11 @@
 	addr    string
 	up      bool
 	refuses bool // a cut that resets connections
+	dark    bool // calls reach it, or not, and are never answered
+	deaf    bool // calls do not reach it either
+	// applies is how much later a grant without an answer is applied.
+	applies time.Duration
+	service string // empty for the usual one
 	seen    [sampled]keyrange.Fence
 	until   [sampled]time.Time
 }
@@ -222,6 +250,8 @@
 	servers []*fakeServer
 	hosts   map[string]*Cluster // by peer address
 	cutOff  map[string]bool     // hosts that no other host reaches
+	silent  map[link]bool       // questions that get no answer
+	paused  map[string]chan struct{}
 	lives   int
 	start   time.Time
 }
@@ -232,6 +262,8 @@
 		store:  &fakeStore{cut: map[string]bool{}},
 		hosts:  map[string]*Cluster{},
 		cutOff: map[string]bool{},
+		silent: map[link]bool{},
+		paused: map[string]chan struct{}{},
 		start:  time.Now(),
 	}
 	for i := range servers {
@@ -271,7 +303,11 @@
 func (w *world) list(s *fakeServer, state directory.State) {
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
-	v := directory.Server{Holder: s.holder, Service: stockName, Address: s.addr, Slots: 3, State: state}
+	service := stockName
+	if s.service != "" {
+		service = s.service
+	}
+	v := directory.Server{Holder: s.holder, Service: service, Address: s.addr, Slots: 3, State: state}
 	w.store.servers = append(w.store.servers, directory.Change{ID: s.holder.ID, Server: &v})
 }
 
@@ -294,11 +330,46 @@
 // clock stands for the boot-time clock.
 func (w *world) clock() time.Duration { return time.Since(w.start) }
 
+// clockOf is the clock of one host. Whoever reads it while the host is paused
+// waits for the pause to end, as a suspended process does.
+func (w *world) clockOf(name string) Clock {
+	return func() time.Duration {
+		w.mu.Lock()
+		thaw := w.paused[name]
+		w.mu.Unlock()
+		if thaw != nil {
+			<-thaw
+		}
+		return w.clock()
+	}
+}
+
+// pause suspends a host, thaw lets it go on.
+func (w *world) pause(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.paused[name] == nil {
+		w.paused[name] = make(chan struct{})
+	}
+}
+
+func (w *world) thaw(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if thaw := w.paused[name]; thaw != nil {
+		close(thaw)
+		delete(w.paused, name)
+	}
+}
+
+// link is the way from one host to another.
+type link struct{ from, to string }
+
 // addHost starts an entry host.
 func (w *world) addHost(name string) *Cluster {
 	w.lives++
 	self := assigner.Host{Name: name, Incarnation: fmt.Sprint(w.lives), Peer: name}
-	c := New(Config{Self: self, HoldMax: 10 * time.Second, Seeds: []string{"h0", "h1"}, Clock: w.clock},
+	c := New(Config{Self: self, HoldMax: 10 * time.Second, Seeds: []string{"h0", "h1"}, Clock: w.clockOf(name)},
 		storeOf{w.store, name}, w, peersOf{w, name}, zap.NewNop())
 	w.mu.Lock()
 	w.hosts[name] = c
@@ -309,6 +380,7 @@
 
 // kill ends a host without warning.
 func (w *world) kill(name string) {
+	w.thaw(name)
 	w.mu.Lock()
 	c := w.hosts[name]
 	delete(w.hosts, name)
@@ -338,6 +410,9 @@
 func (w *world) leaders() []string {
 	var out []string
 	for _, name := range w.names() {
+		if w.isPaused(name) {
+			continue
+		}
 		c := w.host(name)
 		got := make(chan bool, 1)
 		c.post(func() { got <- c.machine.Leads(w.clock()) })
@@ -348,6 +423,12 @@
 	return out
 }
 
+func (w *world) isPaused(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paused[name] != nil
+}
+
 func (w *world) host(name string) *Cluster {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -425,11 +506,37 @@
 		w.mu.Unlock()
 		return assigner.CallRefused, err
 	}
+	if s.dark {
+		w.mu.Unlock()
+		return w.grantInTheDark(ctx, s, r, hold)
+	}
+	if s.holder.ID != r.Owner.ID {
+		w.mu.Unlock()
+		return assigner.CallFailed, fault.New(fault.SendFailed, "another server has the address")
+	}
 	result := s.take(r, hold)
 	w.mu.Unlock()
 	return result, sleepCtx(ctx, hop)
 }
 
+// grantInTheDark lets a grant arrive, or not, without an answer. Its time counts
+// from its arrival, also when it is applied later.
+func (w *world) grantInTheDark(ctx context.Context, s *fakeServer, r keyrange.Range, hold time.Duration) (assigner.CallResult, error) {
+	w.mu.Lock()
+	deaf, applies := s.deaf, s.applies
+	w.mu.Unlock()
+	if !deaf && s.holder.ID == r.Owner.ID {
+		arrived := time.Now()
+		time.AfterFunc(applies, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			s.take(r, hold-time.Since(arrived))
+		})
+	}
+	<-ctx.Done()
+	return assigner.CallFailed, ctx.Err()
+}
+
 func (s *fakeServer) take(r keyrange.Range, hold time.Duration) assigner.CallResult {
 	keys := keysOf(r)
 	for _, k := range keys {
@@ -449,8 +556,13 @@
 		return "", assigner.CallFailed, err
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	s, err := w.reach(addr)
+	if err == nil && s.dark {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return "", assigner.CallFailed, ctx.Err()
+	}
+	defer w.mu.Unlock()
 	if err != nil {
 		return "", assigner.CallRefused, err
 	}
@@ -472,8 +584,13 @@
 		return err
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	_, err := w.reach(addr)
+	s, err := w.reach(addr)
+	dark := err == nil && s.dark
+	w.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	return err
 }
 
@@ -487,6 +604,10 @@
 	if err := sleepCtx(ctx, hop); err != nil {
 		return nil, err
 	}
+	if p.w.isSilent(p.from, addr) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
 	c := p.w.hosts[addr]
@@ -496,6 +617,14 @@
 	return c, nil
 }
 
+// isSilent reports whether questions between two hosts get no answer: the link is
+// silent, or the host that is asked is paused.
+func (w *world) isSilent(from, to string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent[link{from, to}] || w.paused[to] != nil
+}
+
 // Sync implements Peers.
 func (p peersOf) Sync(ctx context.Context, addr string, q *hostlink.Question) (*hostlink.Answer, error) {
 	c, err := p.reach(ctx, addr)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -188,16 +188,13 @@
 	return &out
 }
 
-// Keep adds the servers of old that s lacks, for the time after an outage in
-// which living servers may not have written their entries again.
-func (s *Snapshot) Keep(old *Snapshot) *Snapshot {
-	f := newFolder(old)
-	for _, v := range s.Servers {
-		f.servers[v.Holder.ID] = v
-	}
-	out := &Snapshot{Next: s.Next, Version: s.Version, recent: s.recent, oldest: s.oldest, before: s.before}
-	out.Servers, out.departed = f.result()
-	return out
+// Merge returns the snapshot with the given servers beside those that it has, for
+// the time after an outage in which living servers may not have written their
+// entries again.
+func (s *Snapshot) Merge(all []Change, next uint64) *Snapshot {
+	out := *s.Fold(all, next)
+	out.Next = next
+	return &out
 }
 
 // folder is a directory while changes are applied to it.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -133,3 +133,16 @@
 	s := (&Snapshot{}).Fold([]Change{entry("a", 1, 1, Ready)}, 50)
 	require.Equal(t, uint64(7), s.Reload([]Change{entry("a", 1, 1, Ready)}, 7).Next)
 }
+
+// Servers that are missing from a new listing stay when it is merged, also for a
+// host that learns the changes only.
+func TestMergeKeepsWhatIsNotListed(t *testing.T) {
+	lead := (&Snapshot{}).WithEpoch(1).Fold([]Change{entry("a", 1, 1, Ready), entry("b", 1, 1, Ready)}, 2)
+	follow := lead
+	lead = lead.Merge([]Change{entry("b", 1, 2, Draining), entry("c", 1, 1, Ready)}, 9)
+	follow = follow.Apply(lead.Since(follow.Version))
+	require.Equal(t, lead.Servers, follow.Servers)
+	require.NotNil(t, follow.Find("a"))
+	require.Equal(t, Draining, follow.Find("b").State)
+	require.Equal(t, uint64(9), lead.Next)
+}
