soak: the real entry hosts as processes, harmed from outside, checked by what callers and servers see

Loopback proxies delay, silence or reset connections; hosts are paused, killed, stopped and restarted by signals; the store, the backend servers and the configuration change meanwhile. The checks have tests of their own.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,116 @@
+// Command soak plays seeds of package soak against the entry host's program and
+// prints what each broke. It exits with 1 when a promise was not kept, and with 2
+// when the soak itself could not run.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/lacewingsaddle/lacewingsaddle/soak"
+)
+
+type arguments struct {
+	Program  string        `arg:"positional,required" help:"path of the entry host's program"`
+	Seed     uint64        `arg:"--seed" help:"first seed; 0 takes one from the clock"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds"`
+	Jobs     int           `arg:"--jobs" default:"1" help:"seeds that run at the same time"`
+	Length   time.Duration `arg:"--length" default:"15s" help:"time with faults of each seed"`
+	Hosts    int           `arg:"--hosts" default:"4" help:"entry hosts"`
+	Backends int           `arg:"--backends" default:"6" help:"backend servers"`
+	Clients  int           `arg:"--clients" default:"10" help:"callers"`
+	Dir      string        `arg:"--dir" help:"directory for settings and logs; default: a temporary one"`
+	Verbose  bool          `arg:"--verbose" help:"print the faults of every seed, not only of those that broke something"`
+}
+
+const (
+	exitBroken = 1
+	exitFailed = 2
+)
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, args))
+}
+
+func run(ctx context.Context, args arguments) int {
+	if args.Seed == 0 {
+		args.Seed = uint64(time.Now().Unix())
+	}
+	if args.Dir == "" {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+		args.Dir = dir
+	}
+	code := 0
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	slots := make(chan struct{}, max(args.Jobs, 1))
+	for i := range args.Seeds {
+		slots <- struct{}{}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			c := play(ctx, args, args.Seed+uint64(i), &mu)
+			mu.Lock()
+			code = max(code, c)
+			mu.Unlock()
+			<-slots
+		}()
+	}
+	running.Wait()
+	return code
+}
+
+// play plays one seed and prints its outcome under mu.
+func play(ctx context.Context, args arguments, seed uint64, mu *sync.Mutex) int {
+	dir := filepath.Join(args.Dir, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	r, err := soak.Run(ctx, soak.Config{
+		Program: args.Program, Dir: dir, Seed: seed,
+		Hosts: args.Hosts, Backends: args.Backends, Clients: args.Clients, Length: args.Length,
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		return exitFailed
+	}
+	fmt.Printf("seed %d: %d requests, %d served, %d faults, %d promises broken\n", seed, r.Requests, r.Served, len(r.Faults), len(r.Violations))
+	if len(r.Violations) == 0 {
+		if args.Verbose {
+			printLines(r.Faults)
+		}
+		_ = os.RemoveAll(dir) // the logs of a sound run are not kept
+		return 0
+	}
+	printLines(r.Faults)
+	for _, v := range r.Violations {
+		fmt.Println("  broken", v)
+	}
+	fmt.Println("  logs in", dir)
+	return exitBroken
+}
+
+func printLines(lines []string) {
+	for _, l := range lines {
+		fmt.Println("  " + l)
+	}
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a proxy does to the connections that pass through it.
+type Mode uint8
+
+// The modes.
+const (
+	Pass        Mode = iota
+	Delay            // bytes take longer, both ways
+	SilenceUp        // bytes towards the server are swallowed
+	SilenceDown      // bytes of the server are swallowed
+	Silence          // both
+	Reset            // present and new connections are reset
+)
+
+func (m Mode) String() string {
+	return [...]string{"pass", "delay", "silence up", "silence down", "silence", "reset"}[m]
+}
+
+// delayTime is how much longer bytes take in mode Delay.
+const delayTime = 40 * time.Millisecond
+
+// Proxy passes TCP connections on a loopback address on to a target, and harms
+// them as told.
+type Proxy struct {
+	lis    net.Listener
+	target string
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	mode  Mode
+	conns map[net.Conn]bool
+}
+
+// NewProxy starts a proxy to a target. Close ends it.
+func NewProxy(target string) (*Proxy, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{lis: lis, target: target, conns: map[net.Conn]bool{}}
+	p.wait.Add(1)
+	go p.accept()
+	return p, nil
+}
+
+// Address is where callers connect.
+func (p *Proxy) Address() string { return p.lis.Addr().String() }
+
+// Set changes what happens to connections. Connections that were silenced stay
+// so: bytes that were swallowed are missing.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == Reset {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.lis.Close() // accept ends by that
+	p.mu.Lock()
+	for c := range p.conns {
+		_ = c.Close() // its copies end by that
+	}
+	p.mu.Unlock()
+	p.wait.Wait()
+}
+
+// reset closes a connection so that the other end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
+
+func (p *Proxy) accept() {
+	defer p.wait.Done()
+	for {
+		c, err := p.lis.Accept()
+		if err != nil {
+			return // closed
+		}
+		p.wait.Add(1)
+		go p.serve(c)
+	}
+}
+
+func (p *Proxy) serve(near net.Conn) {
+	defer p.wait.Done()
+	if p.now() == Reset {
+		reset(near)
+		return
+	}
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(near) // nobody listens: callers see a connection that breaks
+		return
+	}
+	p.keep(near, far)
+	defer p.drop(near, far)
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); p.copy(far, near, SilenceUp) }()
+	go func() { defer both.Done(); p.copy(near, far, SilenceDown) }()
+	both.Wait()
+}
+
+func (p *Proxy) now() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *Proxy) keep(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *Proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+		_ = c.Close() // both ends are done
+	}
+}
+
+// copy passes bytes of one direction on. Once bytes were swallowed, the direction
+// stays silent, as a connection does whose state a router has lost.
+func (p *Proxy) copy(to, from net.Conn, silent Mode) {
+	buf := make([]byte, 32<<10)
+	lost := false
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !lost {
+			switch p.now() {
+			case silent, Silence:
+				lost = true
+			case Delay:
+				time.Sleep(delayTime)
+			}
+			if !lost {
+				if _, werr := to.Write(buf[:n]); werr != nil {
+					_ = from.Close() // the other direction ends by that
+					return
+				}
+			}
+		}
+		if err != nil {
+			if lost {
+				return // silence: the other end is told nothing
+			}
+			closeWrite(to, err)
+			return
+		}
+	}
+}
+
+// closeWrite passes the end of a direction on: an orderly one or a reset.
+func closeWrite(c net.Conn, err error) {
+	tcp, ok := c.(*net.TCPConn)
+	if ok && err == io.EOF {
+		_ = tcp.CloseWrite() // fails only on a closed connection
+		return
+	}
+	reset(c)
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,234 @@
+// Package soak runs the real entry host program as separate processes on one
+// machine, harms them from outside, and checks the promises of the users' pages by
+// what callers and backend servers see.
+//
+// Hosts are stopped, paused, killed and restarted by signals. Connections to the
+// store, to backend servers and from callers pass through loopback proxies that
+// delay, silence or reset them. The store's stand-in refuses, stays silent, loses
+// answers and drops its history. Backend servers crash, restart and drain. The
+// configuration changes meanwhile. The seed decides what is harmed and when.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
+)
+
+// Config is one run.
+type Config struct {
+	Program  string        // path of the entry host's program
+	Dir      string        // for settings and logs
+	Seed     uint64        // decides the faults
+	Hosts    int           // entry hosts
+	Backends int           // backend servers
+	Clients  int           // callers
+	Length   time.Duration // time with faults
+}
+
+// Bounds that the platform gives to hosts, see settings in hosts.go.
+const (
+	drainTime = 2 * time.Second
+	applyTime = 2 * time.Second
+	graceTime = 6 * time.Second
+	// touchTime is how long everything must have been calm before bounds of time
+	// hold.
+	touchTime = 3 * time.Second
+	// thawSlack is how long after a host was thawed its grants are excused.
+	thawSlack = 300 * time.Millisecond
+	// startTime bounds the time until every host serves, recoverTime the same after
+	// the last fault.
+	startTime   = 30 * time.Second
+	recoverTime = 15 * time.Second
+)
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Rule   string
+	Detail string
+	At     time.Duration // since the start
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%7.3f s  %s: %s", v.At.Seconds(), v.Rule, v.Detail)
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64
+	Requests   int // that callers sent
+	Served     int
+	Faults     []string // in order
+	Violations []Violation
+}
+
+// world is everything that runs in one soak.
+type world struct {
+	cfg     Config
+	start   time.Time
+	rand    *rand.Rand
+	store   *platformtest.Store
+	hosts   []*host
+	servers []*server
+	ledger  *ledger
+	config  *operator
+
+	mu     sync.Mutex
+	report Report
+	// harmed is when the last fault of each subject was in force, "store" for the
+	// store's.
+	harmed map[string]time.Time
+}
+
+// Run plays one seed. An error says that the soak itself could not run.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	w := &world{
+		cfg:    cfg,
+		start:  time.Now(),
+		rand:   newRand(cfg.Seed),
+		store:  platformtest.NewStore(),
+		harmed: map[string]time.Time{},
+	}
+	w.report.Seed = cfg.Seed
+	w.ledger = newLedger(w)
+	w.config = newOperator(w)
+	stand := httptest.NewServer(w.store)
+	defer stand.Close()
+	defer w.store.Close()
+	defer w.close()
+	if err := w.setUp(strings.TrimPrefix(stand.URL, "http://")); err != nil {
+		return nil, err
+	}
+	if missing := w.notServedBy(ctx, startTime); missing != "" {
+		return nil, fmt.Errorf("%v after the start %s, see the logs in %s", startTime, missing, cfg.Dir)
+	}
+	w.play(ctx)
+	w.judge(ctx)
+	return &w.report, nil
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+func (w *world) setUp(store string) error {
+	w.config.publish()
+	for i := range w.cfg.Backends {
+		s, err := newServer(w, i)
+		if err != nil {
+			return err
+		}
+		w.servers = append(w.servers, s)
+	}
+	for i := range w.cfg.Hosts {
+		h, err := newHost(w, i, store)
+		if err != nil {
+			return err
+		}
+		w.hosts = append(w.hosts, h)
+	}
+	for _, h := range w.hosts {
+		if err := h.launch(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play lets clients send while faults come and go.
+func (w *world) play(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var running sync.WaitGroup
+	for i := range w.cfg.Clients {
+		running.Add(1)
+		c := newClient(w, i)
+		go func() { defer running.Done(); c.run(ctx) }()
+	}
+	running.Add(1)
+	go func() { defer running.Done(); w.config.run(ctx) }()
+	running.Add(1)
+	go func() { defer running.Done(); w.heartbeats(ctx) }()
+	w.faults(ctx)
+	time.Sleep(touchTime)
+	stop()
+	running.Wait()
+}
+
+// judge checks what can be told only at the end.
+func (w *world) judge(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go w.heartbeats(ctx)
+	if missing := w.notServedBy(ctx, recoverTime); missing != "" {
+		w.violate("RECOVER", "%v after the last fault %s", recoverTime, missing)
+	}
+	w.ledger.judge()
+}
+
+func (w *world) close() {
+	for _, h := range w.hosts {
+		h.end()
+	}
+	for _, s := range w.servers {
+		s.close()
+	}
+}
+
+func (w *world) violate(rule, format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.report.Violations = append(w.report.Violations, Violation{Rule: rule, Detail: fmt.Sprintf(format, args...), At: time.Since(w.start)})
+}
+
+// harm notes that a subject is being harmed from now to until, or has just been.
+func (w *world) harm(subject string, until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until.After(w.harmed[subject]) {
+		w.harmed[subject] = until
+	}
+}
+
+// calm reports whether nothing has harmed the subjects for a while before t.
+func (w *world) calm(t time.Time, subjects ...string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range subjects {
+		if t.Sub(w.harmed[s]) < touchTime {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := fmt.Sprintf("%7.3f s  ", time.Since(w.start).Seconds())
+	w.report.Faults = append(w.report.Faults, at+fmt.Sprintf(format, args...))
+}
+
+// probedKeys are the keys that every host must serve.
+var probedKeys = []uint16{0, 9000, 21000, 33000, 45000, 57000, 65535}
+
+// notServedBy waits for up to d until every host serves keys of the whole space by
+// the newest configuration. It returns what is not served then, or "".
+func (w *world) notServedBy(ctx context.Context, d time.Duration) string {
+	deadline := time.Now().Add(d)
+	for _, h := range w.hosts {
+		for _, key := range probedKeys {
+			for !h.serves(ctx, w.config.newest(), key) {
+				if time.Now().After(deadline) || ctx.Err() != nil {
+					return fmt.Sprintf("%s does not serve key %d", h.name, key)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds the tests' waits; nothing is measured by it.
+const patience = 30 * time.Second
+
+// newWorld returns a world without processes, for the checks.
+func newWorld() *world {
+	w := &world{cfg: Config{Seed: 1}, start: time.Now(), harmed: map[string]time.Time{}}
+	w.ledger = newLedger(w)
+	w.store = platformtest.NewStore()
+	w.config = newOperator(w)
+	return w
+}
+
+// newLife returns a server's life that the ledger knows, without a listener.
+func newLife(w *world, id string) (*server, *platformtest.Backend) {
+	s := &server{w: w, id: id}
+	life := platformtest.NewBackend(id)
+	life.Began = func(key uint64) { w.ledger.began(s, life, key) }
+	s.life = life
+	w.ledger.lived(s, life)
+	return s, life
+}
+
+// call sends a request to a life and returns its status.
+func call(life *platformtest.Backend, path, id, key, body string) int {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Request-Id", id)
+	if key != "" {
+		r.Header.Set("Shard-Key", key)
+	}
+	rec := httptest.NewRecorder()
+	life.ServeHTTP(rec, r)
+	return rec.Code
+}
+
+func rules(w *world) []string {
+	var out []string
+	for _, v := range w.report.Violations {
+		out = append(out, v.Rule)
+	}
+	return out
+}
+
+const wholeSpace = `{"from":0,"to":65535,"fence":1,"hold_s":5}`
+
+func TestTwoOwnersAreNoticed(t *testing.T) {
+	w := newWorld()
+	_, a := newLife(w, "a")
+	_, b := newLife(w, "b")
+	require.Equal(t, 200, call(a, "/grant", "", "", wholeSpace))
+	require.Equal(t, 200, call(a, "/x", "1", "7", ""))
+	require.Equal(t, 200, call(b, "/grant", "", "", wholeSpace))
+	require.Equal(t, 200, call(b, "/x", "2", "7", ""))
+	require.Empty(t, rules(w), "only one has begun a request since both hold the key")
+	require.Equal(t, 200, call(a, "/x", "3", "7", ""))
+	require.Equal(t, []string{"OWNER"}, rules(w))
+}
+
+func TestAHolderThatHasEndedIsNoOwner(t *testing.T) {
+	w := newWorld()
+	_, a := newLife(w, "a")
+	_, b := newLife(w, "b")
+	require.Equal(t, 200, call(a, "/grant", "", "", wholeSpace))
+	w.ledger.died(a)
+	require.Equal(t, 200, call(b, "/grant", "", "", wholeSpace))
+	for _, id := range []string{"1", "2"} {
+		require.Equal(t, 200, call(b, "/x", id, "7", ""))
+	}
+	require.Empty(t, rules(w))
+}
+
+func TestRunsAreComparedWithAnswers(t *testing.T) {
+	w := newWorld()
+	_, a := newLife(w, "a")
+	_, b := newLife(w, "b")
+	for _, id := range []string{"twice", "refused", "unasked", "safe", "once"} {
+		require.Equal(t, 200, call(a, "/x", id, "", ""))
+	}
+	for _, id := range []string{"twice", "safe"} {
+		require.Equal(t, 200, call(b, "/x", id, "", ""))
+	}
+	w.ledger.answered(answer{id: "twice", once: true})
+	w.ledger.answered(answer{id: "refused", once: true, promised: true})
+	w.ledger.answered(answer{id: "safe"})
+	w.ledger.answered(answer{id: "once", once: true})
+	w.ledger.answered(answer{id: "never ran", once: true, promised: true})
+	w.ledger.judge()
+	require.ElementsMatch(t, []string{"TWICE", "REFUSED", "UNASKED"}, rules(w))
+}
+
+func TestWorkAfterLeavingIsNoticed(t *testing.T) {
+	w := newWorld()
+	s, life := newLife(w, "a")
+	require.Equal(t, 200, call(life, "/grant", "", "", wholeSpace))
+	s.draining, s.drainAt = true, time.Now().Add(-time.Second)
+	require.Equal(t, 200, call(life, "/x", "1", "7", ""))
+	require.Empty(t, rules(w), "it still serves for a while")
+	s.drainAt = time.Now().Add(-time.Minute)
+	w.harm("store", time.Now())
+	require.Equal(t, 200, call(life, "/x", "2", "7", ""))
+	require.Empty(t, rules(w), "the store was harmed a moment ago")
+	w.harmed["store"] = time.Now().Add(-time.Minute)
+	require.Equal(t, 200, call(life, "/x", "3", "7", ""))
+	require.Equal(t, []string{"DRAIN"}, rules(w))
+}
+
+func TestAnswersAreChecked(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(h http.Header) (status int, body string)
+		rule   string
+	}{
+		{"sound", func(h http.Header) (int, string) { h.Set("Upstream-Signature", "a.r"); return 200, "a ran r b" }, ""},
+		{"of another request", func(h http.Header) (int, string) {
+			h.Set("Request-Id", "q")
+			h.Set("Upstream-Signature", "a.q")
+			return 200, "a ran q b"
+		}, "MIXED"},
+		{"changed", func(h http.Header) (int, string) { h.Set("Upstream-Signature", "a.r"); return 200, "a ran r" }, "MIXED"},
+		{"refused without a time", func(http.Header) (int, string) { return 503, "" }, "REFUSED"},
+		{"denied", func(http.Header) (int, string) { return 400, "" }, "DENIED"},
+		{"older configuration than before", func(http.Header) (int, string) { return 404, "" }, "CONFIG"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld()
+			cl := newClient(w, 0)
+			cl.known["h/1"] = 3
+			resp := &http.Response{Header: http.Header{}}
+			var body string
+			resp.StatusCode, body = c.answer(resp.Header)
+			cl.check(attempt{id: "r", process: "h/1", host: &host{name: "h"}, version: 2, body: "b"}, resp, body, nil)
+			if c.rule == "" {
+				require.Empty(t, rules(w))
+				return
+			}
+			require.Contains(t, rules(w), c.rule)
+		})
+	}
+}
+
+// Each mode of the proxy does what it says to a connection.
+func TestProxy(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); _, _ = io.Copy(c, c) }()
+		}
+	}()
+	p, err := NewProxy(echo.Addr().String())
+	require.NoError(t, err)
+	defer p.Close()
+	for _, m := range []Mode{Pass, Delay} {
+		p.Set(m)
+		require.Equal(t, "hello", exchange(t, p, patience))
+	}
+	for _, m := range []Mode{SilenceUp, SilenceDown, Silence} {
+		p.Set(m)
+		require.Empty(t, exchange(t, p, 50*time.Millisecond))
+	}
+	p.Set(Reset)
+	require.Empty(t, exchange(t, p, patience))
+	p.Set(Pass)
+	require.Equal(t, "hello", exchange(t, p, patience))
+}
+
+// exchange sends a word over a new connection and returns what comes back in time.
+func exchange(t *testing.T, p *Proxy, limit time.Duration) string {
+	c, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(limit)))
+	if _, err := io.WriteString(c, "hello"); err != nil {
+		return ""
+	}
+	buf := make([]byte, len("hello"))
+	n, _ := io.ReadFull(c, buf) // an error leaves what came before it
+	return string(buf[:n])
+}
+
+// The settings that hosts get are those of the platform.
+func TestSettingsAreThePlatforms(t *testing.T) {
+	w := newWorld()
+	w.cfg.Dir = t.TempDir()
+	h, err := newHost(w, 0, "127.0.0.1:1")
+	require.NoError(t, err)
+	defer h.end()
+	t.Setenv("LACEWINGSADDLE_CONFIG", h.settings)
+	s, err := platform.LoadSettings()
+	require.NoError(t, err)
+	require.Equal(t, "entry-0", s.Host)
+	require.Equal(t, h.front, s.Traffic)
+	require.Equal(t, graceTime, s.StopGrace)
+}
+
+// The seed decides the order of the faults.
+func TestSeedDecidesTheFaults(t *testing.T) {
+	names := func(seed uint64) string {
+		w := &world{rand: newRand(seed)}
+		var out []string
+		for range 50 {
+			out = append(out, w.draw().name)
+		}
+		return strings.Join(out, " ")
+	}
+	require.Equal(t, names(4), names(4))
+	require.NotEqual(t, names(4), names(5))
+}
