grant: grants end by the server's own clock, which its answers tell

A server tells its clock and the name of its run in each answer; a grant names the moment on that clock at which it ends. A server that was not asked yet is asked first, by a renewal that extends nothing; one that tells no clock is sent ttl_ms alone, as before. The platform's backend servers are not touched by this.

--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -185,10 +185,10 @@
 		return
 	}
 	k.wait.Go(func() {
-		r := k.send(ctx, key.service, address, m)
+		r, c := k.send(ctx, key.service, address, m)
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.servers[key].done(k.source.Now(), m, sent, r)
+		k.servers[key].done(k.source.Now(), m, sent, r, c)
 	})
 }
 
@@ -205,6 +205,7 @@
 	}
 	if s.address != address {
 		s.address, s.confirmed = address, false
+		s.clock, s.clockless = nil, false
 	}
 	snap := k.source.Snapshot()
 	now := k.source.Now()
--- a/grant/server.go
+++ b/grant/server.go
@@ -33,6 +33,9 @@
 	pause   ownership.Instant // nothing is sent before this
 	until   ownership.Instant // the server's grant lasts until here at least
 	given   []given
+	// clock is the newest reading of the server's clock. Clockless servers told none.
+	clock     *clock
+	clockless bool
 }
 
 // message is one grant on its way.
@@ -40,6 +43,10 @@
 	epoch   uint64
 	content *content // nil for a renewal
 	ttl     time.Duration
+	// boot and end say when the grant ends by the server's own clock; boot is empty
+	// while that is not known.
+	boot string
+	end  int64 // milliseconds
 }
 
 const (
@@ -77,12 +84,16 @@
 		return message{}, false
 	}
 	m := message{epoch: s.epoch, ttl: ttl}
-	if s.failed {
-		// It must not hold up a failover, so it extends nothing already given.
+	if s.failed || !s.confirmed && s.clockUnknown() {
+		// It must not hold up a failover, so it extends nothing already given. The
+		// answer tells the server's clock.
 		m.ttl = min(ttl, max(ttlOf(now, s.givenUntil(s.epoch)), 0))
 		s.sending = true
 		return m, true
 	}
+	if s.clock != nil {
+		m.boot, m.end = s.clock.boot, s.clock.endOf(now+ttl)
+	}
 	if !s.confirmed {
 		m.content = s.content
 	}
@@ -134,10 +145,14 @@
 	refused // any other answer
 )
 
-// done takes in the end of message m, sent at the given instant.
-func (s *server) done(now ownership.Instant, m message, sent ownership.Instant, r reply) {
+// done takes in the end of message m, sent at the given instant, and the clock that
+// the answer told.
+func (s *server) done(now ownership.Instant, m message, sent ownership.Instant, r reply, c *clock) {
 	s.sending = false
 	s.failed = r == noReply
+	if !s.failed {
+		s.learnClock(c)
+	}
 	if m.epoch != s.epoch {
 		return
 	}
--- a/standin/keyserver/grants.go
+++ b/standin/keyserver/grants.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -19,19 +20,25 @@
 }
 
 // GrantRequest is the body of PUT /-/grants. A renewal has neither Shards nor Keys.
+// With Boot, the grant ends at EndMS of that run's clock at the latest.
 type GrantRequest struct {
 	Service string       `json:"service"`
 	Epoch   uint64       `json:"epoch"`
 	TTLMS   int64        `json:"ttl_ms"`
+	Boot    string       `json:"boot"`
+	EndMS   int64        `json:"end_ms"`
 	Shards  []ShardToken `json:"shards"`
 	Keys    []KeyToken   `json:"keys"`
 }
 
 func (g GrantRequest) renewal() bool { return g.Shards == nil && g.Keys == nil }
 
-// GrantError is the answer to a grant that was not taken.
-type GrantError struct {
-	Error string `json:"error"`
+// GrantAnswer is the answer to a grant: why it was not taken, and the server's
+// clock, in milliseconds since the start of the run that Boot names.
+type GrantAnswer struct {
+	Error   string `json:"error,omitempty"`
+	Boot    string `json:"boot"`
+	ClockMS int64  `json:"clock_ms"`
 }
 
 // grant is the newest grant of one service.
@@ -59,13 +66,20 @@
 		return
 	}
 	status, reason := s.grant(in)
-	if status != http.StatusOK {
-		writeJSON(w, status, GrantError{Error: reason})
-		return
-	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	boot, clock := s.clock()
+	writeJSON(w, status, GrantAnswer{Error: reason, Boot: boot, ClockMS: clock.Milliseconds()})
 }
 
+// clock returns the name of the present run and the time since its start.
+func (s *Server) clock() (boot string, since time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot(), time.Since(s.started)
+}
+
+// boot names the present run. The caller holds mu.
+func (s *Server) boot() string { return strconv.FormatInt(s.started.UnixNano(), 36) }
+
 // grant applies in by the server's own clock.
 func (s *Server) grant(in GrantRequest) (status int, reason string) {
 	s.mu.Lock()
@@ -74,6 +88,9 @@
 	if held != nil && in.Epoch < held.epoch {
 		return http.StatusConflict, "stale-epoch"
 	}
+	if in.Boot != "" && in.Boot != s.boot() {
+		return http.StatusPreconditionFailed, "unknown-clock"
+	}
 	now := time.Now()
 	// A grant that has ended is not held any more: a renewal that a frozen
 	// server reads late must not bring it back.
@@ -84,6 +101,9 @@
 		held = s.replaceGrant(in)
 	}
 	held.until = now.Add(time.Duration(in.TTLMS) * time.Millisecond)
+	if end := s.started.Add(time.Duration(in.EndMS) * time.Millisecond); in.Boot != "" && end.Before(held.until) {
+		held.until = end
+	}
 	return http.StatusOK, ""
 }
 
