cluster, assigner: hosts are told as changes, and maps less often to very many hosts

Cause: each registration of a host made the assigner send the whole list to every host: at 300 machines 300 lists of 300 hosts to 300 hosts within a second. Hosts are told the registrations that they lack; above 60 hosts the pause between publications of the map grows with their number. Test: TestHostsAreToldAsChanges.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -81,8 +81,11 @@
 	askPause = 100 * time.Millisecond
 	// planEvery is the pause between plans.
 	planEvery = 200 * time.Millisecond
-	// publishEvery is the longest pause between changes of grants and their publication.
+	// publishEvery is the longest pause between changes of grants and their
+	// publication to hostsAtOnce hosts; for more it grows with their number, since
+	// every host is told of each.
 	publishEvery = 15 * time.Millisecond
+	hostsAtOnce  = 60
 )
 
 // GrantSpan bounds the time from the decision to grant to the last moment at
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -54,7 +54,7 @@
 	for _, r := range m.ranges {
 		m.driveRange(now, r, hold)
 	}
-	if m.dirty && now-m.lastPub >= publishEvery {
+	if m.dirty && now-m.lastPub >= m.publishPause() {
 		m.dirty = false
 		m.lastPub = now
 		m.change++
@@ -73,6 +73,11 @@
 	m.do(Load{})
 }
 
+// publishPause returns the pause between publications.
+func (m *Machine) publishPause() time.Duration {
+	return publishEvery * time.Duration(max(m.suspects.registered, hostsAtOnce)) / hostsAtOnce
+}
+
 func (m *Machine) planInTime(now Time) {
 	if m.pending != nil || m.storeBusy || now < m.storeRetry || now-m.planned < planEvery {
 		return
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -134,7 +134,7 @@
 	var out []assigner.Host
 	for _, h := range c.hosts {
 		if h.Name != c.cfg.Self.Name && c.machine.Hears(c.cfg.Clock(), h.Name) {
-			out = append(out, h)
+			out = append(out, h.Host)
 		}
 	}
 	return out
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -79,7 +79,7 @@
 
 	// Owned by the control goroutine.
 	machine      *assigner.Machine
-	hosts        map[string]assigner.Host
+	hosts        map[string]knownHost
 	hostsVersion uint64 // offset after the last registration that is known
 	rawConfig    []byte
 	troubled     time.Duration // since when confirmations fail, 0 when they do not
@@ -125,7 +125,7 @@
 		logger:   logger.Named("cluster"),
 		views:    newViews(),
 		events:   make(chan func(), eventQueue),
-		hosts:    map[string]assigner.Host{cfg.Self.Name: cfg.Self},
+		hosts:    map[string]knownHost{cfg.Self.Name: {Host: cfg.Self}},
 		relink:   make(chan struct{}, 1),
 		urgent:   make(chan struct{}, 1),
 	}
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
 )
 
@@ -108,6 +109,25 @@
 	})
 }
 
+// A host is told of the hosts that it lacks, not of all again, and ends with all.
+func TestHostsAreToldAsChanges(t *testing.T) {
+	deployment(t, 5, 4, func(w *world) {
+		lead := w.host(w.leaders()[0])
+		var before uint64
+		lead.post(func() { before = lead.hostsVersion })
+		w.addHost("h5")
+		w.watch(settleTime)
+		got := make(chan []assigner.Host, 1)
+		lead.post(func() { got <- lead.hostsSince(before).Hosts })
+		hosts := <-got
+		require.Len(t, hosts, 1)
+		require.Equal(t, "h5", hosts[0].Name)
+		for _, name := range w.names() {
+			require.Equal(t, 6, w.host(name).View().Hosts, name)
+		}
+	})
+}
+
 // A planned stop hands the epoch on without a gap.
 func TestResignation(t *testing.T) {
 	deployment(t, 4, 6, func(w *world) {
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -304,7 +304,7 @@
 	}
 	c.tellDirectory(a, q)
 	if c.hostsVersion > q.Hosts {
-		a.Hosts = c.hostList()
+		a.Hosts = c.hostsSince(q.Hosts)
 	}
 	if v.Routes != nil && v.Routes.Version > q.Config {
 		a.Config = c.rawConfig
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -85,11 +85,22 @@
 	c.tellMachine(c.View().Servers)
 }
 
-// hostList returns the registered hosts for others.
-func (c *Cluster) hostList() *hostlink.HostList {
+// knownHost is a registered host and the version of the list with which this host
+// learnt of it.
+type knownHost struct {
+	assigner.Host
+	at uint64
+}
+
+// hostsSince returns the hosts that a host with an earlier version of the list lacks.
+// Versions are offsets of the store: whoever has one knows every registration below
+// it, and none that was learnt with a version up to it lies above.
+func (c *Cluster) hostsSince(version uint64) *hostlink.HostList {
 	out := &hostlink.HostList{Version: c.hostsVersion}
 	for _, h := range c.hosts {
-		out.Hosts = append(out.Hosts, h)
+		if h.at > version {
+			out.Hosts = append(out.Hosts, h.Host)
+		}
 	}
 	return out
 }
@@ -98,9 +109,13 @@
 func (c *Cluster) takeHosts(hosts []assigner.Host, version uint64) {
 	c.hostsVersion = max(c.hostsVersion, version)
 	for _, h := range hosts {
-		c.hosts[h.Name] = h
+		if c.hosts[h.Name].Host != h || c.hosts[h.Name].at == 0 {
+			c.hosts[h.Name] = knownHost{Host: h, at: version}
+		}
 	}
-	c.hosts[c.cfg.Self.Name] = c.cfg.Self
+	own := c.hosts[c.cfg.Self.Name]
+	own.Host = c.cfg.Self
+	c.hosts[c.cfg.Self.Name] = own
 	c.machine.SetRank(c.rank())
 	c.machine.SetHosts(len(c.hosts))
 	n := len(c.hosts)
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -62,7 +62,8 @@
 	Asked    uint64             `json:"asked,omitempty"`
 }
 
-// HostList is the registered entry hosts as of a version.
+// HostList is the entry hosts that registered since the version that was asked for,
+// as of a newer one.
 type HostList struct {
 	Version uint64          `json:"version"`
 	Hosts   []assigner.Host `json:"hosts"`
