upstream: a new connection is used once the server could have refused it

Cause: a server resets connections beyond its cap after it has accepted them, one round trip after they were opened; a request sent at once was then in doubt.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -86,6 +86,8 @@
 	// every host is told of each.
 	publishEvery = 15 * time.Millisecond
 	hostsAtOnce  = 60
+	// crowdDelay is added for each host above hostsAtOnce before a claim.
+	crowdDelay = 4 * time.Millisecond
 )
 
 // GrantSpan bounds the time from the decision to grant to the last moment at
--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -7,7 +7,7 @@
 )
 
 func (m *Machine) tickFollower(now Time) {
-	wait := m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay
+	wait := m.patience()
 	if !m.loaded {
 		wait = m.cfg.ClaimDelay
 	}
@@ -95,7 +95,14 @@
 
 // claimWait is how long this host hears no assigner before it claims.
 func (m *Machine) claimWait() time.Duration {
-	return m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay + m.lostPause
+	return m.patience() + m.lostPause
+}
+
+// patience is how long an assigner may be silent. One that very many hosts ask
+// answers later.
+func (m *Machine) patience() time.Duration {
+	crowd := max(m.suspects.registered-hostsAtOnce, 0)
+	return m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay + time.Duration(crowd)*crowdDelay
 }
 
 // publishRecorded tells this host the recorded map while it cannot ask the
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -285,8 +285,10 @@
 			return event.ReasonNoNews
 		}
 		return ""
-	case fault.DialFailed, fault.Overloaded, fault.NotSent:
+	case fault.DialFailed, fault.NotSent:
 		return ""
+	case fault.Overloaded:
+		return mayRepeatFull(q)
 	case fault.StaleToken:
 		return g.mayRepeatStale(q, s)
 	case fault.NotAccepted:
@@ -327,6 +329,17 @@
 	return ""
 }
 
+// mayRepeatFull decides on a request whose server takes no more connections.
+func mayRepeatFull(q *request) event.Reason {
+	if q.left() < q.target()/4 {
+		return event.ReasonNoTime
+	}
+	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
+		return event.ReasonEnded
+	}
+	return ""
+}
+
 // takeTry takes a second try from the budget of q's service.
 func (g *Gateway) takeTry(q *request) event.Reason {
 	if !g.secondTry(q.service.Name) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -17,6 +18,10 @@
 // readBuffer is the size of a connection's read buffer, in bytes.
 const readBuffer = 4 << 10
 
+// acceptTime is how long a server may take to reset a connection that it accepts,
+// besides the round trip.
+const acceptTime = 2 * time.Millisecond
+
 // conn is one connection to a backend server.
 type conn struct {
 	raw    net.Conn
@@ -53,4 +58,17 @@
 	return err == nil && quiet
 }
 
+// staysOpen waits for d and reports whether the new connection is still open. A
+// server resets connections beyond its cap as soon as it has accepted them, which
+// shows here one round trip after the connection was opened.
+func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return c.quiet()
+}
+
 func (c *conn) close() { _ = c.raw.Close() } // nothing depends on how it closes
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -101,13 +101,22 @@
 	}
 	s.open++
 	s.mu.Unlock()
+	start := time.Now()
 	raw, err := s.dialer(ctx, "tcp", s.Address)
 	if err == nil {
-		return newConn(raw, time.Now()), nil
+		c := newConn(raw, time.Now())
+		if c.staysOpen(ctx, c.last.Sub(start)+acceptTime) {
+			return c, nil
+		}
+		c.close()
+		err = fault.New(fault.Overloaded, "the server closed the new connection at once")
 	}
 	s.mu.Lock()
 	s.open--
 	s.mu.Unlock()
+	if fault.KindOf(err) == fault.Overloaded {
+		return nil, err
+	}
 	if fault.IsRefused(err) {
 		return nil, fault.Wrap(fault.Refused, err, "no process listens at the address")
 	}
