--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,312 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is a server that reads requests and writes what it is told for each; an
+// empty text ends the connection.
+type script struct {
+	dials   atomic.Int64
+	mu      sync.Mutex
+	answers []string
+	got     []string // heads and bodies as they arrived
+}
+
+// next returns the answer to a request, and false when there is none left.
+func (s *script) next(got string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, got)
+	if len(s.answers) == 0 {
+		return "", false
+	}
+	text := s.answers[0]
+	s.answers = s.answers[1:]
+	return text, true
+}
+
+func (s *script) dial(context.Context, string, string) (net.Conn, error) {
+	s.dials.Add(1)
+	near, far := net.Pipe()
+	go s.serve(far)
+	return near, nil
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		text, ok := s.next(req.Method + " " + req.RequestURI + " " + string(body))
+		if _, err := io.WriteString(conn, text); err != nil || !ok || text == "" {
+			return
+		}
+		if strings.HasSuffix(text, "cut") || strings.Contains(text, "until the end") {
+			return
+		}
+	}
+}
+
+func request(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, URI: "/x?y=1", Host: "shop.example", Header: http.Header{"A": {"1", "2"}},
+		ID: id, IDHeader: "X-Id", Body: []byte("body"), Length: 4, Deadline: time.Now().Add(time.Second),
+	}
+}
+
+// with runs f with a server that answers by a script, in virtual time.
+func with(t *testing.T, answers []string, f func(t *testing.T, s *Server, sc *script)) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := &script{answers: answers}
+		s := NewServer("x", 4, sc.dial)
+		defer s.Close()
+		f(t, s, sc)
+	})
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+
+// What an answer on the wire leads to: its body, or the kind of error.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		body   string
+		kind   fault.Kind // empty for a whole answer
+		kept   bool       // the connection serves the next request
+	}{
+		{"by length", head + "Content-Length: 2\r\n\r\nok", "ok", "", true},
+		{"empty", head + "Content-Length: 0\r\n\r\n", "", "", true},
+		{"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", "ok", "", true},
+		{"until the connection ends", head + "\r\nuntil the end", "until the end", "", false},
+		{"the server closes", head + "Connection: close\r\nContent-Length: 2\r\n\r\nok", "ok", "", false},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "ok", "", true},
+		{"after an answer to another request", "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 1\r\n\r\n!" + head + "Content-Length: 2\r\n\r\nok", "ok", "", true},
+		{"bytes behind it", head + "Content-Length: 2\r\n\r\nok!", "ok", "", false},
+		{"an error without an id", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "", "", true},
+		{"a success without an id", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", fault.Timeout, false},
+		{"no answer", "", "", fault.AnswerCut, false},
+		{"cut in the head", "HTTP/1.1 200 OK\r\nX-cut", "", fault.AnswerCut, false},
+		{"cut in the body", head + "Content-Length: 9\r\n\r\ncut", "", fault.AnswerCut, false},
+		{"cut in a chunk", head + "Transfer-Encoding: chunked\r\n\r\n9\r\ncut", "", fault.AnswerCut, false},
+		{"no answer of the protocol", "garbage\r\n\r\ncut", "", fault.AnswerCut, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			with(t, []string{c.answer, head + "Content-Length: 4\r\n\r\nnext"}, func(t *testing.T, s *Server, sc *script) {
+				a, err := s.Do(t.Context(), request("a"))
+				if c.kind != "" {
+					require.Equal(t, c.kind, fault.KindOf(err))
+				} else {
+					require.NoError(t, err)
+					require.Equal(t, c.body, string(a.Body))
+					require.Nil(t, a.Rest)
+				}
+				require.Equal(t, "POST /x?y=1 body", sc.got[0])
+				synctest.Wait()
+				_, err = s.Do(t.Context(), request("a"))
+				require.NoError(t, err)
+				dials := int64(2)
+				if c.kept {
+					dials = 1
+				}
+				require.Equal(t, dials, sc.dials.Load())
+			})
+		})
+	}
+}
+
+// Answers to other requests are passed over only so often.
+func TestTooManyAnswersToOthers(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n"
+	with(t, []string{strings.Repeat(stray, maxStray+1)}, func(t *testing.T, s *Server, _ *script) {
+		_, err := s.Do(t.Context(), request("a"))
+		require.Equal(t, fault.AnswerMismatch, fault.KindOf(err))
+	})
+}
+
+// A long answer is passed on as it arrives; one that breaks off says so.
+func TestLongAnswers(t *testing.T) {
+	long := strings.Repeat("x", maxBuffered+10)
+	for name, body := range map[string]string{"whole": long, "broken off": long[:maxBuffered+5] + "cut"} {
+		t.Run(name, func(t *testing.T) {
+			text := head + "Content-Length: 1048586\r\n\r\n" + body
+			with(t, []string{text}, func(t *testing.T, s *Server, _ *script) {
+				a, err := s.Do(t.Context(), request("a"))
+				require.NoError(t, err)
+				require.Len(t, a.Body, maxBuffered)
+				rest, err := io.ReadAll(a.Rest)
+				if name == "whole" {
+					require.NoError(t, err)
+					require.Len(t, rest, 10)
+				} else {
+					require.Error(t, err)
+				}
+				require.NoError(t, a.Rest.Close())
+			})
+		})
+	}
+}
+
+// A kept connection is used for a while; a request that may run once asks for one
+// that has answered lately.
+func TestKeptConnections(t *testing.T) {
+	ok := head + "Content-Length: 0\r\n\r\n"
+	cases := []struct {
+		name  string
+		first string
+		pause time.Duration
+		once  bool
+		dials int64
+	}{
+		{"at once", ok, 0, true, 1},
+		{"later, may run again", ok, idleLimit - time.Second, false, 1},
+		{"later, may run once", ok, freshEnough + time.Millisecond, true, 2},
+		{"too late", ok, idleLimit + time.Second, false, 2},
+		{"within the server's promise", head + "Keep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n", 2 * time.Second, false, 1},
+		{"after the server's promise", head + "Keep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n", 4 * time.Second, false, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			with(t, []string{c.first, ok}, func(t *testing.T, s *Server, sc *script) {
+				_, err := s.Do(t.Context(), request("a"))
+				require.NoError(t, err)
+				time.Sleep(c.pause)
+				r := request("a")
+				r.Once = c.once
+				_, err = s.Do(t.Context(), r)
+				require.NoError(t, err)
+				require.Equal(t, c.dials, sc.dials.Load())
+			})
+		})
+	}
+}
+
+// Connections that are idle for long are closed, and their places are free again.
+func TestTrim(t *testing.T) {
+	with(t, []string{head + "Content-Length: 0\r\n\r\n"}, func(t *testing.T, s *Server, _ *script) {
+		_, err := s.Do(t.Context(), request("a"))
+		require.NoError(t, err)
+		s.Trim(time.Now().Add(idleLimit / 2))
+		require.Equal(t, 1, s.open)
+		s.Trim(time.Now().Add(idleLimit + time.Second))
+		require.Zero(t, s.open)
+	})
+}
+
+// A request that was not handed over is told from one that may have run.
+func TestNothingWasSent(t *testing.T) {
+	cases := []struct {
+		name string
+		dial Dialer
+		kind fault.Kind
+	}{
+		{"refused", func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}, fault.Refused},
+		{"no connection", func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no route") }, fault.DialFailed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewServer("x", 1, c.dial)
+			_, err := s.Do(t.Context(), request("a"))
+			require.Equal(t, c.kind, fault.KindOf(err))
+			require.Zero(t, s.open)
+		})
+	}
+}
+
+func TestNoMoreConnectionsThanAllowed(t *testing.T) {
+	with(t, []string{"", ""}, func(t *testing.T, s *Server, _ *script) {
+		s.SetLimit(1)
+		c, err := s.dial(t.Context())
+		require.NoError(t, err)
+		_, err = s.Do(t.Context(), request("a"))
+		require.Equal(t, fault.Overloaded, fault.KindOf(err))
+		s.discard(c)
+	})
+}
+
+// A request whose caller leaves, or whose time is over, ends at once.
+func TestEndOfARequest(t *testing.T) {
+	silent := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far); _ = far.Close() }()
+		return near, nil
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer("x", 4, silent)
+		start := time.Now()
+		_, err := s.Do(t.Context(), request("a"))
+		require.Equal(t, fault.Timeout, fault.KindOf(err))
+		require.Equal(t, time.Second, time.Since(start))
+
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		start = time.Now()
+		_, err = s.Do(ctx, request("a"))
+		require.Equal(t, fault.Canceled, fault.KindOf(err))
+		require.Equal(t, 100*time.Millisecond, time.Since(start))
+		require.Zero(t, s.open)
+	})
+}
+
+// Bytes of a server never lead to an answer to another request, nor to a part of
+// one that looks whole.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(head + "Content-Length: 2\r\n\r\nok"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 503 X\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		near, far := net.Pipe()
+		go func() {
+			r := bufio.NewReader(far)
+			if req, err := http.ReadRequest(r); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body) // the script reads all
+			}
+			_, _ = far.Write(text) // the caller may have closed
+			_ = far.Close()
+		}()
+		s := NewServer("x", 1, func(context.Context, string, string) (net.Conn, error) { return near, nil })
+		defer s.Close()
+		a, err := s.Do(t.Context(), request("a"))
+		if err != nil {
+			return
+		}
+		if a.Rest != nil {
+			defer a.Rest.Close()
+		}
+		id := a.Header.Get("X-Id")
+		require.True(t, id == "a" || id == "" && a.Status >= http.StatusBadRequest, "status %d, id %q", a.Status, id)
+		if n := a.Length; n >= 0 && a.Rest == nil {
+			require.Len(t, a.Body, int(n))
+		}
+	})
+}
