--- /dev/null
+++ b/gateway/trace_test.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+	"github.com/lacewingsaddle/lacewingsaddle/logsink"
+)
+
+// observed makes the gateway's lines visible. It returns the messages written so
+// far, in order.
+func (b *bench) observed() func() []string {
+	core, logs := observer.New(zapcore.InfoLevel)
+	b.gateway.logger = zap.New(core)
+	return func() []string {
+		var out []string
+		for _, e := range logs.All() {
+			out = append(out, strings.TrimPrefix(e.Message, "gateway: "))
+		}
+		return out
+	}
+}
+
+// idThat returns an id whose lines are all written, or one whose are not.
+func idThat(isSampled bool) string {
+	for i := 0; ; i++ {
+		if id := fmt.Sprint("r", i); sampled(id) == isSampled {
+			return id
+		}
+	}
+}
+
+// Every decision on a request's way writes its line; a request without trouble
+// writes none unless it is sampled.
+func TestEveryDecisionWritesItsLine(t *testing.T) {
+	late := func(b *bench) {
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			time.Sleep(900 * time.Millisecond) // the target is 600
+			return b.answer(conn, req)
+		}
+	}
+	cases := []struct {
+		name    string
+		set     func(b *bench)
+		method  string
+		path    string
+		sampled bool
+		want    []string
+	}{
+		{"served", func(*bench) {}, "POST", "/book/1", false, nil},
+		{"served, sampled", func(*bench) {}, "POST", "/book/1", true, []string{"request taken", "request sent", "request answered"}},
+		{"late", late, "POST", "/book/1", false, []string{"request answered"}},
+		{"no route", func(*bench) {}, "POST", "/none/1", false, []string{"request not answered"}},
+		{"no owner", func(b *bench) { b.control.view.Owners = &keyrange.Map{} }, "POST", "/book/1", false, []string{"request not answered"}},
+		{"shed, sent again, shed", func(b *bench) { b.servers["o1"], b.servers["o2"] = notRunning, notRunning }, "POST", "/order/1", false, []string{
+			"send failed", "request is sent again", "send failed", "request is sent again", "send failed", "request is sent again",
+			"send failed", "request is not sent again", "request not answered",
+		}},
+		{"budget spent", func(b *bench) {
+			b.gateway.cfg.Budget = BudgetRule{Window: 10 * time.Second}
+			b.servers["o1"], b.servers["o2"] = notRunning, notRunning
+		}, "POST", "/order/1", false, []string{
+			"send failed", "budget of second tries spent", "request is not sent again", "request not answered",
+		}},
+		{"failed by its server", func(b *bench) { b.servers["s1"] = failing(b) }, "POST", "/book/1", false, []string{"request answered"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inBench(t, func(t *testing.T, b *bench) {
+				c.set(b)
+				lines := b.observed()
+				b.send(c.method, c.path, idThat(c.sampled), "x")
+				require.Equal(t, c.want, lines())
+			})
+		})
+	}
+}
+
+// What becomes of an answer on its way to the caller has its lines too.
+func TestAnswersThatDoNotArriveWriteTheirLine(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	cut := func(b *bench) backendFunc {
+		return func(conn net.Conn, req *http.Request) bool {
+			_, _ = io.Copy(io.Discard, req.Body) // the caller's write must not block
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: ok\r\nContent-Length: %d\r\n\r\n%s",
+				req.Header.Get("X-Id"), 3<<20, long) // the connection ends anyway
+			return false
+		}
+	}
+	inBench(t, func(t *testing.T, b *bench) {
+		b.servers["s1"] = cut(b)
+		lines := b.observed()
+		require.Nil(t, b.send("POST", "/book/1", idThat(false), "x"))
+		require.Equal(t, []string{"answer broken off"}, lines())
+	})
+	inBench(t, func(t *testing.T, b *bench) {
+		lines := b.observed()
+		req := httptest.NewRequest("POST", "/book/1", strings.NewReader("x"))
+		ctx, leave := context.WithCancel(req.Context())
+		defer leave()
+		req = req.WithContext(ctx)
+		req.Host = "shop.example"
+		req.Header.Set("X-Id", idThat(false))
+		req.Header.Set("X-Key", "77")
+		b.servers["s1"] = func(conn net.Conn, req *http.Request) bool {
+			leave()
+			return waitForEnd(conn)
+		}
+		require.Nil(t, b.do(req))
+		require.Contains(t, lines(), "caller left")
+	})
+}
+
+// blockedOutput takes nothing until it is opened.
+type blockedOutput struct{ open chan struct{} }
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.open
+	return len(p), nil
+}
+
+// A full pipe behind the log delays no request.
+func TestBlockedLogDelaysNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		out := &blockedOutput{open: make(chan struct{})}
+		w := logsink.NewWriter(out)
+		enc := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+		core := zapcore.NewCore(enc, w, zapcore.InfoLevel)
+		b.gateway.logger = zap.New(logsink.NewCore(core, w, 1<<20, time.Now))
+		start := time.Now()
+		for range 3000 {
+			require.Equal(t, http.StatusNotFound, b.send("GET", "/none/1", "r", "").Code)
+		}
+		require.Zero(t, time.Since(start))
+		require.Positive(t, w.Dropped())
+		close(out.open)
+		w.Stop()
+	})
+}
+
+// The sample is about as large as it says.
+func TestSample(t *testing.T) {
+	n := 0
+	for i := range 32000 {
+		if sampled(fmt.Sprintf("%016x", i*7919)) {
+			n++
+		}
+	}
+	require.InDelta(t, 32000/sampleEvery, n, 200)
+}
