--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
-	"github.com/lacewingsaddle/lacewingsaddle/directory"
 	"github.com/lacewingsaddle/lacewingsaddle/event"
-	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
@@ -243,88 +241,3 @@
 		c.takeServers(s)
 	}
 }
-
-// Sync implements hostlink.Handler.
-func (c *Cluster) Sync(ctx context.Context, q *hostlink.Question) (*hostlink.Answer, error) {
-	deadline := time.Now().Add(time.Duration(q.Wait) * time.Millisecond)
-	for {
-		view := c.View()
-		a, err := c.answer(ctx, q)
-		if err != nil {
-			return nil, err
-		}
-		left := time.Until(deadline)
-		if a.news() || !a.Leads || left <= 0 {
-			return a.Answer, nil
-		}
-		q.Report = assigner.Report{}
-		waitFor(ctx, view.Next, left)
-	}
-}
-
-// reply is an answer with what decides whether it waits.
-type reply struct{ *hostlink.Answer }
-
-func (r reply) news() bool {
-	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.Asked != 0
-}
-
-func waitFor(ctx context.Context, news <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-news:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-func (c *Cluster) answer(ctx context.Context, q *hostlink.Question) (reply, error) {
-	a, ok := query(ctx, c, func() *hostlink.Answer { return c.answerNow(q) })
-	if !ok {
-		return reply{}, fault.New(fault.PeerUnavailable, "the question ended before it was answered")
-	}
-	return reply{a}, nil
-}
-
-func (c *Cluster) answerNow(q *hostlink.Question) *hostlink.Answer {
-	now := c.cfg.Clock()
-	a := &hostlink.Answer{Epoch: c.machine.Epoch(), Assigner: c.machine.Assigner(), Leads: c.machine.Leads(now)}
-	a.Abandoned = c.stopping || c.troubled != 0 && now-c.troubled > abandonAfter
-	if a.Leads {
-		c.machine.AddReport(now, q.From.Name, q.Report)
-	}
-	v := c.View()
-	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
-		m := v.Owners
-		if a.Leads {
-			m = m.Since(q.Map)
-		}
-		a.Map = hostlink.PackMap(m)
-	}
-	c.tellDirectory(a, q)
-	if c.hostsVersion > q.Hosts {
-		a.Hosts = c.hostsSince(q.Hosts)
-	}
-	if v.Routes != nil && v.Routes.Version > q.Config {
-		a.Config = c.rawConfig
-	}
-	if a.Leads && v.Asked > q.Asked {
-		a.Asked, a.Suspects = v.Asked, v.Suspects
-	}
-	return a
-}
-
-// tellDirectory adds the directory, or the changes to the one that the asking
-// host has from this assigner. A host that does not lead tells one that has none.
-func (c *Cluster) tellDirectory(a *hostlink.Answer, q *hostlink.Question) {
-	v := c.View().Servers
-	switch {
-	case v.Version == q.Servers || len(v.Servers) == 0:
-	case !a.Leads && q.Servers != (directory.Version{}):
-	default:
-		if a.Changes = v.Since(q.Servers); a.Changes == nil {
-			a.Servers = v
-		}
-	}
-}
--- /dev/null
+++ b/cluster/serverwatch.go
@@ -0,0 +1,147 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+const (
+	// serversEvery is the pause between reads of the backend servers' entries.
+	serversEvery = 350 * time.Millisecond
+	// outageGap is the time of failing reads, and outageReads their number, that
+	// count as an outage: a single lost packet does not.
+	outageGap   = 1500 * time.Millisecond
+	outageReads = 2
+	// returnGrace is how long after an outage lapsed entries may still come back.
+	returnGrace = 2300 * time.Millisecond
+)
+
+// serverWatch is the state of the watch of the backend servers.
+type serverWatch struct {
+	snapshot *directory.Snapshot
+	loaded   bool
+	failing  time.Duration // since when reads fail, 0 when they do not
+	failed   int           // reads that have failed since
+	grace    time.Duration // until when lapsed entries are kept
+	lapsed   map[string]bool
+}
+
+// watchServers reads the entries while this host leads or hears no assigner.
+func (c *Cluster) watchServers() {
+	w := &serverWatch{snapshot: &directory.Snapshot{}, lapsed: map[string]bool{}}
+	var pause backoff
+	for c.ctx.Err() == nil {
+		if !c.mustRead() {
+			w.loaded = false
+			c.sleep(serversEvery)
+			continue
+		}
+		epoch := c.leadingEpoch()
+		if !w.loaded {
+			w.snapshot = c.View().Servers
+		}
+		if epoch != 0 {
+			w.snapshot = w.snapshot.WithEpoch(epoch)
+		}
+		before := w.snapshot.Version
+		if err := c.readServers(w); err != nil {
+			c.noteStore("read the backend servers", err)
+			c.sleep(pause.next())
+			continue
+		}
+		c.noteStore("read the backend servers", nil)
+		pause = 0
+		if epoch == 0 && w.snapshot.Version != before {
+			w.snapshot = w.snapshot.WithEpoch(0) // found without the assigner
+		}
+		s := w.snapshot
+		c.post(func() { c.takeServers(s) })
+		c.sleep(serversEvery)
+	}
+}
+
+func (c *Cluster) readServers(w *serverWatch) error {
+	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
+	defer cancel()
+	now := c.cfg.Clock()
+	changes, next, full, err := c.fetchServers(ctx, w)
+	if err != nil {
+		if w.failing == 0 {
+			w.failing = now
+		}
+		w.failed++
+		return err
+	}
+	if w.failed >= outageReads && now-w.failing > outageGap {
+		w.grace = now + returnGrace
+		c.write(event.LapsesHeldBack{ForMS: event.Millis(returnGrace)})
+	}
+	w.failing, w.failed = 0, 0
+	if full {
+		w.snapshot = w.reload(changes, next, now)
+	} else {
+		w.snapshot = w.snapshot.Fold(w.holdBack(changes, now), next)
+	}
+	w.loaded = true
+	if now >= w.grace && len(w.lapsed) > 0 {
+		w.dropLapsed()
+	}
+	return nil
+}
+
+func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) ([]directory.Change, uint64, bool, error) {
+	if w.loaded {
+		changes, next, err := c.store.ReadServers(ctx, w.snapshot.Next)
+		if err == nil || fault.KindOf(err) != fault.LogGap {
+			return changes, next, false, err
+		}
+		c.write(event.HistoryGone{Error: err.Error()})
+	}
+	all, next, err := c.store.AllServers(ctx)
+	return all, next, true, err
+}
+
+// reload replaces the directory. During the grace time entries that are missing
+// are kept.
+func (w *serverWatch) reload(all []directory.Change, next uint64, now time.Duration) *directory.Snapshot {
+	if now >= w.grace {
+		return w.snapshot.Reload(all, next)
+	}
+	listed := make(map[string]bool, len(all))
+	for _, ch := range all {
+		listed[ch.ID] = true
+	}
+	for _, v := range w.snapshot.Servers {
+		if !listed[v.Holder.ID] {
+			w.lapsed[v.Holder.ID] = true
+		}
+	}
+	return w.snapshot.Merge(w.holdBack(all, now), next)
+}
+
+// holdBack holds removals back during the grace time.
+func (w *serverWatch) holdBack(changes []directory.Change, now time.Duration) []directory.Change {
+	out := changes[:0]
+	for _, ch := range changes {
+		if ch.Server == nil && now < w.grace {
+			w.lapsed[ch.ID] = true
+			continue
+		}
+		delete(w.lapsed, ch.ID)
+		out = append(out, ch)
+	}
+	return out
+}
+
+func (w *serverWatch) dropLapsed() {
+	var gone []directory.Change
+	for id := range w.lapsed {
+		gone = append(gone, directory.Change{ID: id})
+	}
+	clear(w.lapsed)
+	w.snapshot = w.snapshot.Fold(gone, w.snapshot.Next)
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,9 +7,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
-	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
-	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
 
@@ -256,138 +254,6 @@
 	}
 }
 
-// again reports whether q may be sent again after err. It waits as long as that
-// helps.
-func (g *Gateway) again(q *request, s *server, err error) bool {
-	q.ready = time.Now()
-	if why := g.mayRepeat(q, s, err); why != "" {
-		g.noteDenied(q, err, why)
-		return false
-	}
-	g.noteAgain(q, err, time.Since(q.ready))
-	return true
-}
-
-// mayRepeat returns why q may not be sent again after err, or "".
-func (g *Gateway) mayRepeat(q *request, s *server, err error) event.Reason {
-	switch {
-	case q.ctx.Err() != nil:
-		return event.ReasonEnded
-	case q.sentAny:
-		return event.ReasonStreamed
-	case q.sends >= maxSends:
-		return event.ReasonSends
-	}
-	switch fault.KindOf(err) {
-	case fault.Refused:
-		g.control.AddRefused(s.Holder)
-		if q.keyed && !g.waitForNews(q, s, q.target()/2) {
-			return event.ReasonNoNews
-		}
-		return ""
-	case fault.DialFailed, fault.NotSent:
-		return ""
-	case fault.Overloaded:
-		return mayRepeatFull(q)
-	case fault.StaleToken:
-		return g.mayRepeatStale(q, s)
-	case fault.NotAccepted:
-		return g.mayRepeatShed(q, s)
-	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch:
-		if q.once() {
-			return event.ReasonMayRun
-		}
-		return g.takeTry(q)
-	}
-	return event.ReasonKind
-}
-
-// mayRepeatStale decides on a request whose server does not hold its key. Without
-// news the owner may hold the key again, under a renewed grant.
-func (g *Gateway) mayRepeatStale(q *request, s *server) event.Reason {
-	if q.keyed && !g.waitForNews(q, s, afterStale) && q.sends > 1 {
-		return event.ReasonNoNews
-	}
-	if q.ctx.Err() != nil {
-		return event.ReasonEnded
-	}
-	return g.takeTry(q)
-}
-
-// mayRepeatShed decides on a request that its server shed.
-func (g *Gateway) mayRepeatShed(q *request, s *server) event.Reason {
-	s.full(time.Now().Add(fullTime))
-	if q.left() < q.target()/4 {
-		return event.ReasonNoTime
-	}
-	if why := g.takeTry(q); why != "" {
-		return why
-	}
-	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
-		return event.ReasonEnded
-	}
-	return ""
-}
-
-// mayRepeatFull decides on a request whose server takes no more connections.
-func mayRepeatFull(q *request) event.Reason {
-	if q.left() < q.target()/4 {
-		return event.ReasonNoTime
-	}
-	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
-		return event.ReasonEnded
-	}
-	return ""
-}
-
-// takeTry takes a second try from the budget of q's service.
-func (g *Gateway) takeTry(q *request) event.Reason {
-	if !g.secondTry(q.service.Name) {
-		return event.ReasonBudget
-	}
-	return ""
-}
-
-// waitForNews waits until the key has another owner than the server that was
-// asked, for at most d.
-func (g *Gateway) waitForNews(q *request, s *server, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	for {
-		view := g.control.View()
-		if now := grantOf(q, view); now != nil && now.Granted && now.Owner != s.Holder {
-			return true
-		}
-		select {
-		case <-view.Next:
-		case <-t.C:
-			return false
-		case <-q.ctx.Done():
-			return false
-		}
-	}
-}
-
-func grantOf(q *request, view *cluster.View) *keyrange.Range {
-	t := view.Owners.Table(q.service.Name)
-	if t == nil {
-		return nil
-	}
-	return t.Find(q.key)
-}
-
-// pause waits for d and reports whether the request still has time.
-func (q *request) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-q.ctx.Done():
-		return false
-	}
-}
-
 func notRun(k fault.Kind, detail string, retry time.Duration) error {
 	e := fault.New(k, detail)
 	e.RetryAfter = retry
