--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -58,8 +58,10 @@
 	retryCall = 300 * time.Millisecond
 	// retryStore is the pause before a failed call to the store is made again.
 	retryStore = 150 * time.Millisecond
-	// longestRetry bounds that pause while the store does not answer.
-	longestRetry = 900 * time.Millisecond
+	// longestRetry bounds that pause while the store does not answer, for up to
+	// hostsThatRetry hosts; for more it grows with their number.
+	longestRetry   = 900 * time.Millisecond
+	hostsThatRetry = 20
 	// firstLostPause and longestLostPause bound the pause before a claim by a host
 	// that lost its epoch to another.
 	firstLostPause   = 500 * time.Millisecond
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -80,6 +80,23 @@
 	})
 }
 
+// Pattern: the store refuses every call for a while. Calls are priced, refused ones
+// too: a host tries with one watch and, to claim, with one read, each every 0.9 s once
+// the pauses have grown; the assigner also confirms every 0.3 s.
+func TestCallsToAStoreThatIsAwayAreFew(t *testing.T) {
+	const hosts, away = 5, 9 * time.Second
+	deployment(t, hosts, 6, func(w *world) {
+		before := w.store.callCount()
+		w.store.setDown(true)
+		w.watch(away)
+		steady := hosts*2*int(away/watchLongest) + int(away/confirmEvery)
+		noticing := hosts * awayAfter
+		require.LessOrEqual(t, w.store.callCount()-before, steady+noticing)
+		w.store.setDown(false)
+		w.requireRecovered(t)
+	})
+}
+
 // The store turns the assigner away: another host takes over at once.
 func TestAssignerWithoutStoreHandsOn(t *testing.T) {
 	deployment(t, 4, 6, func(w *world) {
@@ -343,3 +360,9 @@
 	defer w.mu.Unlock()
 	f(w.server(id))
 }
+
+func (s *fakeStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- a/cluster/serverwatch.go
+++ b/cluster/serverwatch.go
@@ -50,7 +50,7 @@
 		before := w.snapshot.Version
 		if err := c.readServers(w); err != nil {
 			c.noteStore("read the backend servers", err)
-			c.sleep(pause.next())
+			c.sleep(pause.next(c.View().Hosts))
 			continue
 		}
 		c.noteStore("read the backend servers", nil)
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -113,23 +113,38 @@
 		return
 	}
 	c.stats.StoreFails.Add(1)
+	now := c.cfg.Clock() // before the lock: a host that is paused here must not hold it
 	c.outage.mu.Lock()
 	defer c.outage.mu.Unlock()
 	c.outage.failed++
 	if c.outage.failed == 1 {
-		c.outage.since = c.cfg.Clock()
+		c.outage.since = now
 		c.write(event.StoreLost{Call: what, Error: err.Error()})
 		return
 	}
 	c.write(event.StoreCallFailed{Call: what, Error: err.Error()})
 }
 
+// awayAfter is the number of calls in a row that must fail before the store counts as
+// away.
+const awayAfter = 3
+
+// storeAway reports whether the store is away for this host. The watch of the backend
+// servers then tries alone whether it is back; it runs whenever this host reads the
+// store itself.
+func (c *Cluster) storeAway() bool {
+	c.outage.mu.Lock()
+	defer c.outage.mu.Unlock()
+	return c.outage.failed >= awayAfter
+}
+
 func (c *Cluster) noteStoreAnswered() {
+	now := c.cfg.Clock()
 	c.outage.mu.Lock()
 	defer c.outage.mu.Unlock()
 	if c.outage.failed == 0 {
 		return
 	}
-	c.write(event.StoreRegained{AfterMS: event.Millis(c.cfg.Clock() - c.outage.since), Failed: c.outage.failed})
+	c.write(event.StoreRegained{AfterMS: event.Millis(now - c.outage.since), Failed: c.outage.failed})
 	c.outage.failed = 0
 }
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -17,23 +17,35 @@
 	// idleCheck is how often a follower looks whether it must read itself.
 	idleCheck = 200 * time.Millisecond
 	// readAlone is how long the assigner may be silent before a host reads the
-	// store itself.
-	readAlone   = 700 * time.Millisecond
-	readTimeout = 900 * time.Millisecond
+	// store itself, readAloneCrowd the same among very many hosts: a takeover must not
+	// make all of them read.
+	readAlone      = 700 * time.Millisecond
+	readAloneCrowd = 1400 * time.Millisecond
+	readTimeout    = 900 * time.Millisecond
 	// watchRetry is the first pause after a read that failed, watchLongest the
-	// longest.
+	// longest for up to crowd hosts. It grows with their number, since the first that
+	// reaches the store again tells the others.
 	watchRetry   = 250 * time.Millisecond
 	watchLongest = 900 * time.Millisecond
+	crowd        = 20
 )
 
 // backoff doubles the pause between attempts.
 type backoff time.Duration
 
-func (b *backoff) next() time.Duration {
-	*b = min(max(2**b, backoff(watchRetry)), backoff(watchLongest))
+// next returns the pause after one more failure of one of so many hosts.
+func (b *backoff) next(hosts int) time.Duration {
+	longest := watchLongest * time.Duration(max(hosts, crowd)) / crowd
+	*b = min(max(2**b, backoff(watchRetry)), backoff(longest))
 	return time.Duration(*b)
 }
 
+// aloneAfter returns how long the assigner may be silent before one of so many hosts
+// reads the store itself.
+func aloneAfter(hosts int) time.Duration {
+	return min(readAlone*time.Duration(max(hosts, crowd))/crowd, readAloneCrowd)
+}
+
 // watchConfig keeps the configuration current while this host leads or hears no
 // assigner; otherwise the assigner tells it.
 func (c *Cluster) watchConfig() {
@@ -45,6 +57,10 @@
 			c.sleep(idleCheck)
 			continue
 		}
+		if c.storeAway() {
+			c.sleep(idleCheck)
+			continue
+		}
 		var data []byte
 		var err error
 		if !known {
@@ -56,7 +72,7 @@
 		}
 		if err != nil {
 			c.noteStore("read the configuration", err)
-			c.sleep(pause.next())
+			c.sleep(pause.next(c.View().Hosts))
 			continue
 		}
 		c.noteStore("read the configuration", nil)
@@ -89,7 +105,7 @@
 	var next uint64
 	var pause backoff
 	for c.ctx.Err() == nil {
-		if registered && known && !c.mustRead() {
+		if registered && (known && !c.mustRead() || c.mustRead() && c.storeAway()) {
 			c.sleep(idleCheck)
 			continue
 		}
@@ -97,7 +113,7 @@
 		if err != nil {
 			c.noteStore("read the hosts", err)
 			known = known && fault.KindOf(err) != fault.LogGap
-			c.sleep(pause.next())
+			c.sleep(pause.next(c.View().Hosts))
 			continue
 		}
 		c.noteStore("read the hosts", nil)
@@ -129,7 +145,7 @@
 func (c *Cluster) mustRead() bool {
 	must, _ := query(c.ctx, c, func() bool {
 		now := c.cfg.Clock()
-		return c.machine.Leads(now) || c.machine.Silence(now) > readAlone
+		return c.machine.Leads(now) || c.machine.Silence(now) > aloneAfter(len(c.hosts))
 	})
 	return must
 }
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -37,6 +37,7 @@
 	cut      map[string]bool // hosts that are turned away
 	gapUntil uint64          // records of servers below are gone
 	timeouts int             // reads of servers that get no answer
+	calls    int             // that were made
 	slow     time.Duration   // how much later every answer comes
 	silent   bool            // no call is answered, and nothing is done
 	// lost makes appends end without an answer; they are done after late.
@@ -52,6 +53,7 @@
 
 func (s storeOf) call(ctx context.Context) error {
 	s.mu.Lock()
+	s.calls++
 	slow, silent := s.slow, s.silent
 	s.mu.Unlock()
 	if silent {
