--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,7 +50,7 @@
 		lines = append(lines, line{"map_epoch", int64(v.Owners.Version.Epoch)}, line{"map_change", int64(v.Owners.Version.Change)})
 	}
 	if v.Routes != nil {
-		lines = append(lines, line{"config_version", int64(v.Routes.Version)})
+		lines = append(lines, line{"configuration", int64(v.Routes.Version)})
 	}
 	for _, l := range lines {
 		if _, err := fmt.Fprintf(w, "%s %d\n", l.name, l.value); err != nil {
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
 const (
@@ -91,9 +93,7 @@
 	}
 	req.GetBody = nil // the client's library must not repeat it
 	req.Host = callersHost
-	req.Header.Set("Request-Id", a.id)
-	req.Header.Set("Shard-Key", fmt.Sprint(c.key()))
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
+	platformtest.SetRequest(req.Header, a.id, c.key(), callTime)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.lost(a, err)
@@ -129,15 +129,14 @@
 	c.w.sent(served)
 	promised := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	c.w.ledger.answered(answer{id: a.id, once: a.once, promised: promised})
-	if id := resp.Header.Get("Request-Id"); id != "" && id != a.id {
+	if id := platformtest.AnswerID(resp.Header); id != "" && id != a.id {
 		c.w.violate("MIXED", "%s got the answer to %s", a.id, id)
 	}
 	if promised && resp.Header.Get("Retry-After") == "" {
 		c.w.violate("REFUSED", "%s was refused without a time to come back", a.id)
 	}
 	if served {
-		server, _, _ := strings.Cut(resp.Header.Get("Upstream-Signature"), ".")
-		if body != fmt.Sprintf("%s ran %s %s", server, a.id, a.body) {
+		if body != platformtest.WholeAnswer(platformtest.AnsweredBy(resp.Header), a.id, a.body) {
 			c.w.violate("MIXED", "%s was answered %q", a.id, body)
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -209,9 +209,7 @@
 func compact(w *world, _ int, _ time.Duration) {
 	w.note("the store forgets its history")
 	w.harm("store", time.Now())
-	for _, topic := range []string{"keyed.servers", "keyed.op", "keyed.assignment", "keyed.hosts"} {
-		w.store.Compact(topic)
-	}
+	w.store.CompactAll()
 }
 
 func serverCrash(w *world, target int, d time.Duration) {
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
 // host is an entry host: the real program as a process of its own.
@@ -42,9 +44,11 @@
 	trafficPort = 7001 + iota
 	readinessPort
 	peerPort
-	metricsPort
 )
 
+// probeTime bounds a request that asks whether a host serves.
+const probeTime = 2 * time.Second
+
 // seedBlocks is the number of seeds that may run at the same time.
 const seedBlocks = 200
 
@@ -53,18 +57,6 @@
 	return fmt.Sprintf("127.%d.%d.1:%d", 1+seed%seedBlocks, 1+i, port)
 }
 
-// settingsText is the platform's settings file for one host.
-const settingsText = `node: %q
-zone: north
-ip: %s
-listen: {front: %q, ready: %q, control: %q}
-port_range: [%d, %d]
-seeds: [%q]
-limits: {cpu_share: 0.5, cores: 1, memory_mb: 256, link_mbps: 1000}
-bounds: {grace_s: 6, hold_max_s: 10, budget_ratio: 0.2, budget_window_s: 10, budget_extra_tries: 50}
-platform: {address: %q, form: log}
-`
-
 func newHost(w *world, i int, store string) (*host, error) {
 	h := &host{w: w, name: fmt.Sprintf("entry-%d", i)}
 	var err error
@@ -84,7 +76,16 @@
 	if len(w.hosts) > 0 {
 		seed = w.hosts[0].peer
 	}
-	text := fmt.Sprintf(settingsText, h.name, ip, h.front, address(w.cfg.Seed, i, readinessPort), h.peer, metricsPort, metricsPort, seed, h.store.Address())
+	text := platformtest.Settings{
+		Host:      h.name,
+		IP:        ip,
+		Traffic:   h.front,
+		Readiness: address(w.cfg.Seed, i, readinessPort),
+		Peer:      h.peer,
+		Seed:      seed,
+		Store:     h.store.Address(),
+		StopGrace: graceTime,
+	}.Text()
 	h.settings = filepath.Join(w.cfg.Dir, h.name+".yaml")
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
@@ -99,7 +100,7 @@
 	}
 	defer out.Close() // the process has its own descriptor
 	cmd := exec.Command(h.w.cfg.Program)
-	cmd.Env = []string{"LACEWINGSADDLE_CONFIG=" + h.settings}
+	cmd.Env = []string{platformtest.SettingsVariable + "=" + h.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -177,7 +178,7 @@
 
 // serves reports whether the host serves a key by a version of the configuration.
 func (h *host) serves(ctx context.Context, version int, key uint16) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	path := fmt.Sprintf("/look/v%d/ready", version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.front+path, nil)
@@ -186,9 +187,7 @@
 	}
 	req.Host = callersHost
 	req.Close = true
-	req.Header.Set("Request-Id", h.w.ledger.newID("probe"))
-	req.Header.Set("Shard-Key", fmt.Sprint(key))
-	req.Header.Set("Deadline-Ms", "2000")
+	platformtest.SetRequest(req.Header, h.w.ledger.newID("probe"), int(key), probeTime)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -4,9 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
 // changeEvery is the mean pause between configurations.
@@ -27,15 +28,16 @@
 	defer o.mu.Unlock()
 	o.acked = append(o.acked, time.Time{})
 	n := len(o.acked)
-	var routes []string
+	var routes []platformtest.Route
 	for v := 1; v <= n; v++ {
-		for _, r := range []struct{ name, kind string }{{"look", "idempotent"}, {"book", "non_idempotent"}} {
-			const route = `{"name":"%s-v%d","host":%q,"path_prefix":"/%s/v%d/","kind":%q,"timeout_s":3,"target_latency_s":0.6,"service":"stock","max_attempts":2}`
-			routes = append(routes, fmt.Sprintf(route, r.name, v, callersHost, r.name, v, r.kind))
-		}
+		routes = append(routes,
+			platformtest.Route{Name: fmt.Sprintf("look-v%d", v), Host: callersHost, Prefix: fmt.Sprintf("/look/v%d/", v), Idempotent: true},
+			platformtest.Route{Name: fmt.Sprintf("book-v%d", v), Host: callersHost, Prefix: fmt.Sprintf("/book/v%d/", v)},
+		)
+	}
+	if err := o.w.store.PutConfig(n, stock, routes); err != nil {
+		o.w.violate("SOAK", "publish a configuration: %v", err)
 	}
-	const text = `{"config_version":%d,"routes":[%s],"services":[{"name":"stock","sharded":true,"max_conns":100}],"limits":{"idle_timeout_s":15,"header_timeout_s":3}}`
-	o.w.store.Put("keyed.op", "config", fmt.Appendf(nil, text, n, strings.Join(routes, ",")))
 	o.acked[n-1] = time.Now()
 }
 
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -16,6 +16,8 @@
 	// silence after which its entry is removed.
 	beatEvery = 500 * time.Millisecond
 	lapseTime = 2400 * time.Millisecond
+	// stock is the service of all backend servers.
+	stock = "stock"
 	// firstServer is the number of the first server's loopback address.
 	firstServer = 100
 	// workTime is how long a request takes.
@@ -124,12 +126,14 @@
 		return
 	}
 	s.seq++
-	state := "ready"
-	if s.draining {
-		state = "draining"
-	}
-	const entry = `{"address":%q,"born":%d,"info":{"service":"stock","zone":"north","slots":3},"status":{"state":%q,"seq":%d}}`
-	s.w.store.Put("keyed.servers", s.id, fmt.Appendf(nil, entry, s.proxy.Address(), s.born, state, s.seq))
+	s.w.store.PutServer(platformtest.Server{
+		ID:       s.id,
+		Address:  s.proxy.Address(),
+		Born:     s.born,
+		Service:  stock,
+		Draining: s.draining,
+		Seq:      s.seq,
+	})
 	s.listed, s.seen = true, time.Now()
 }
 
@@ -139,7 +143,7 @@
 	defer s.mu.Unlock()
 	if s.listed && s.life == nil && time.Since(s.seen) > lapseTime {
 		s.listed = false
-		s.w.store.Put("keyed.servers", s.id, nil)
+		s.w.store.RemoveServer(s.id)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,11 +41,12 @@
 }
 
 // call sends a request to a life and returns its status.
-func call(life *platformtest.Backend, path, id, key, body string) int {
-	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
-	r.Header.Set("Request-Id", id)
-	if key != "" {
-		r.Header.Set("Shard-Key", key)
+func call(life *platformtest.Backend, id string, key int) int {
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	if key >= 0 {
+		platformtest.SetRequest(r.Header, id, key, time.Second)
+	} else {
+		platformtest.SetUnkeyed(r.Header, id)
 	}
 	rec := httptest.NewRecorder()
 	life.ServeHTTP(rec, r)
@@ -60,18 +61,19 @@
 	return out
 }
 
-const wholeSpace = `{"from":0,"to":65535,"fence":1,"hold_s":5}`
+// noKey stands for a request without a key.
+const noKey = -1
 
 func TestTwoOwnersAreNoticed(t *testing.T) {
 	w := newWorld()
 	_, a := newLife(w, "a")
 	_, b := newLife(w, "b")
-	require.Equal(t, 200, call(a, "/grant", "", "", wholeSpace))
-	require.Equal(t, 200, call(a, "/x", "1", "7", ""))
-	require.Equal(t, 200, call(b, "/grant", "", "", wholeSpace))
-	require.Equal(t, 200, call(b, "/x", "2", "7", ""))
+	require.Equal(t, 200, a.GrantAll(1, 5*time.Second))
+	require.Equal(t, 200, call(a, "1", 7))
+	require.Equal(t, 200, b.GrantAll(1, 5*time.Second))
+	require.Equal(t, 200, call(b, "2", 7))
 	require.Empty(t, rules(w), "only one has begun a request since both hold the key")
-	require.Equal(t, 200, call(a, "/x", "3", "7", ""))
+	require.Equal(t, 200, call(a, "3", 7))
 	require.Equal(t, []string{"OWNER"}, rules(w))
 }
 
@@ -79,11 +81,11 @@
 	w := newWorld()
 	_, a := newLife(w, "a")
 	_, b := newLife(w, "b")
-	require.Equal(t, 200, call(a, "/grant", "", "", wholeSpace))
+	require.Equal(t, 200, a.GrantAll(1, 5*time.Second))
 	w.ledger.died(a)
-	require.Equal(t, 200, call(b, "/grant", "", "", wholeSpace))
+	require.Equal(t, 200, b.GrantAll(1, 5*time.Second))
 	for _, id := range []string{"1", "2"} {
-		require.Equal(t, 200, call(b, "/x", id, "7", ""))
+		require.Equal(t, 200, call(b, id, 7))
 	}
 	require.Empty(t, rules(w))
 }
@@ -93,10 +95,10 @@
 	_, a := newLife(w, "a")
 	_, b := newLife(w, "b")
 	for _, id := range []string{"twice", "refused", "unasked", "safe", "once"} {
-		require.Equal(t, 200, call(a, "/x", id, "", ""))
+		require.Equal(t, 200, call(a, id, noKey))
 	}
 	for _, id := range []string{"twice", "safe"} {
-		require.Equal(t, 200, call(b, "/x", id, "", ""))
+		require.Equal(t, 200, call(b, id, noKey))
 	}
 	w.ledger.answered(answer{id: "twice", once: true})
 	w.ledger.answered(answer{id: "refused", once: true, promised: true})
@@ -110,16 +112,16 @@
 func TestWorkAfterLeavingIsNoticed(t *testing.T) {
 	w := newWorld()
 	s, life := newLife(w, "a")
-	require.Equal(t, 200, call(life, "/grant", "", "", wholeSpace))
+	require.Equal(t, 200, life.GrantAll(1, 5*time.Second))
 	s.draining, s.drainAt = true, time.Now().Add(-time.Second)
-	require.Equal(t, 200, call(life, "/x", "1", "7", ""))
+	require.Equal(t, 200, call(life, "1", 7))
 	require.Empty(t, rules(w), "it still serves for a while")
 	s.drainAt = time.Now().Add(-time.Minute)
 	w.harm("store", time.Now())
-	require.Equal(t, 200, call(life, "/x", "2", "7", ""))
+	require.Equal(t, 200, call(life, "2", 7))
 	require.Empty(t, rules(w), "the store was harmed a moment ago")
 	w.harmed["store"] = time.Now().Add(-time.Minute)
-	require.Equal(t, 200, call(life, "/x", "3", "7", ""))
+	require.Equal(t, 200, call(life, "3", 7))
 	require.Equal(t, []string{"DRAIN"}, rules(w))
 }
 
@@ -129,13 +131,18 @@
 		answer func(h http.Header) (status int, body string)
 		rule   string
 	}{
-		{"sound", func(h http.Header) (int, string) { h.Set("Upstream-Signature", "a.r"); return 200, "a ran r b" }, ""},
+		{"sound", func(h http.Header) (int, string) {
+			platformtest.Sign(h, "a", "r")
+			return 200, "a ran r b"
+		}, ""},
 		{"of another request", func(h http.Header) (int, string) {
-			h.Set("Request-Id", "q")
-			h.Set("Upstream-Signature", "a.q")
+			platformtest.Sign(h, "a", "q")
 			return 200, "a ran q b"
 		}, "MIXED"},
-		{"changed", func(h http.Header) (int, string) { h.Set("Upstream-Signature", "a.r"); return 200, "a ran r" }, "MIXED"},
+		{"changed", func(h http.Header) (int, string) {
+			platformtest.Sign(h, "a", "r")
+			return 200, "a ran r"
+		}, "MIXED"},
 		{"refused without a time", func(http.Header) (int, string) { return 503, "" }, "REFUSED"},
 		{"denied", func(http.Header) (int, string) { return 400, "" }, "DENIED"},
 		{"older configuration than before", func(http.Header) (int, string) { return 404, "" }, "CONFIG"},
@@ -210,7 +217,7 @@
 	h, err := newHost(w, 0, "127.0.0.1:1")
 	require.NoError(t, err)
 	defer h.end()
-	t.Setenv("LACEWINGSADDLE_CONFIG", h.settings)
+	t.Setenv(platformtest.SettingsVariable, h.settings)
 	s, err := platform.LoadSettings()
 	require.NoError(t, err)
 	require.Equal(t, "entry-0", s.Host)
