--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -9,6 +9,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
 const (
@@ -42,14 +43,7 @@
 	}
 	if result != assigner.CallOK {
 		c.stats.GrantFails.Add(1)
-		c.write(event.GrantFailed{
-			Server: a.Range.Owner.ID,
-			Fence:  uint64(a.Range.Fence),
-			From:   uint16(a.Range.From),
-			To:     uint16(a.Range.To),
-			Result: result.String(),
-			Error:  event.ErrorText(err),
-		})
+		c.write(event.GrantFailed(grantLine(a.Range, a.Range.Owner, result, err)))
 	}
 	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
 	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
@@ -70,18 +64,23 @@
 		call := hostlink.Call{Address: a.Address, Range: a.Range, Release: true}
 		result, handover = c.relay(call, result, c.cfg.Clock()+releaseTimeout)
 	}
-	c.write(event.KeysReleased{
-		Server: a.Holder.ID,
-		Fence:  uint64(a.Range.Fence),
-		From:   uint16(a.Range.From),
-		To:     uint16(a.Range.To),
-		Result: result.String(),
-		Error:  event.ErrorText(err),
-	})
+	c.write(event.KeysReleased(grantLine(a.Range, a.Holder, result, err)))
 	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
 	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
 }
 
+// grantLine tells how a call about keys to a server ended.
+func grantLine(r keyrange.Range, server keyrange.Holder, result assigner.CallResult, err error) event.GrantCall {
+	return event.GrantCall{
+		Server: server.ID,
+		Fence:  uint64(r.Fence),
+		From:   uint16(r.From),
+		To:     uint16(r.To),
+		Result: result.String(),
+		Error:  event.ErrorText(err),
+	}
+}
+
 // reached reports whether the server has answered.
 func reached(r assigner.CallResult) bool { return r == assigner.CallOK || r == assigner.CallFenced }
 
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -136,30 +136,26 @@
 	return fmt.Sprintf("keys %d to %d of %s move from %s to %s under token %d (%s; %.1f%% of the load)", e.From, e.To, e.Service, before, e.Owner, e.Fence, e.Why, 100*e.Load)
 }
 
-// KeysReleased says how a release ended.
-type KeysReleased struct {
+// GrantCall is a call about keys that a backend server was sent.
+type GrantCall struct {
 	Server string `json:"server"`
-	Fence  uint64 `json:"fence"` // of the next owner
+	Fence  uint64 `json:"fence"` // of the owner, or of the next one in a release
 	From   uint16 `json:"from"`
 	To     uint16 `json:"to"`
 	Result string `json:"result"`
 	Error  string `json:"error,omitempty"`
 }
 
+// KeysReleased says how a release ended.
+type KeysReleased GrantCall
+
 // Text implements Event.
 func (e KeysReleased) Text() string {
 	return fmt.Sprintf("release of keys %d to %d at %s under token %d: %s", e.From, e.To, e.Server, e.Fence, e.Result)
 }
 
 // GrantFailed says that a grant or a renewal was not taken.
-type GrantFailed struct {
-	Server string `json:"server"`
-	Fence  uint64 `json:"fence"`
-	From   uint16 `json:"from"`
-	To     uint16 `json:"to"`
-	Result string `json:"result"`
-	Error  string `json:"error,omitempty"`
-}
+type GrantFailed GrantCall
 
 // Text implements Event.
 func (e GrantFailed) Text() string {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,6 +91,15 @@
 func (w *world) host(target int) *host     { return w.hosts[target%len(w.hosts)] }
 func (w *world) server(target int) *server { return w.servers[target%len(w.servers)] }
 
+// alone runs f unless another fault of the same process is in force.
+func alone(process *sync.Mutex, f func()) {
+	if !process.TryLock() {
+		return
+	}
+	defer process.Unlock()
+	f()
+}
+
 // relaunch starts a host's process anew.
 func (w *world) relaunch(h *host) {
 	if err := h.launch(); err != nil {
@@ -101,42 +110,36 @@
 
 func plannedStop(w *world, target int, d time.Duration) {
 	h := w.host(target)
-	if !h.takes.TryLock() {
-		return
-	}
-	defer h.takes.Unlock()
-	w.note("%s stops as planned", h.name)
-	h.stopAsPlanned()
-	time.Sleep(d / 4)
-	w.relaunch(h)
+	alone(&h.takes, func() {
+		w.note("%s stops as planned", h.name)
+		h.stopAsPlanned()
+		time.Sleep(d / 4)
+		w.relaunch(h)
+	})
 }
 
 func kill(w *world, target int, d time.Duration) {
 	h := w.host(target)
-	if !h.takes.TryLock() {
-		return
-	}
-	defer h.takes.Unlock()
-	w.note("%s is killed for %v", h.name, d.Round(time.Millisecond))
-	w.harm(h.name, time.Now().Add(d))
-	h.kill()
-	time.Sleep(d)
-	w.relaunch(h)
+	alone(&h.takes, func() {
+		w.note("%s is killed for %v", h.name, d.Round(time.Millisecond))
+		w.harm(h.name, time.Now().Add(d))
+		h.kill()
+		time.Sleep(d)
+		w.relaunch(h)
+	})
 }
 
 func pause(w *world, target int, d time.Duration) {
 	h := w.host(target)
-	if !h.takes.TryLock() {
-		return
-	}
-	defer h.takes.Unlock()
-	w.note("%s is paused for %v", h.name, d.Round(time.Millisecond))
-	w.harm(h.name, time.Now().Add(d+time.Second))
-	h.signal(syscall.SIGSTOP, false)
-	time.Sleep(d)
-	h.thawed.Store(time.Now().UnixNano())
-	h.signal(syscall.SIGCONT, false)
-	w.harm(h.name, time.Now())
+	alone(&h.takes, func() {
+		w.note("%s is paused for %v", h.name, d.Round(time.Millisecond))
+		w.harm(h.name, time.Now().Add(d+time.Second))
+		h.signal(syscall.SIGSTOP, false)
+		time.Sleep(d)
+		h.thawed.Store(time.Now().UnixNano())
+		h.signal(syscall.SIGCONT, false)
+		w.harm(h.name, time.Now())
+	})
 }
 
 func hangup(w *world, target int, _ time.Duration) {
@@ -214,30 +217,26 @@
 
 func serverCrash(w *world, target int, d time.Duration) {
 	s := w.server(target)
-	if !s.takes.TryLock() {
-		return
-	}
-	defer s.takes.Unlock()
-	w.note("%s crashes for %v", s.id, d.Round(time.Millisecond))
-	w.harm(s.id, time.Now().Add(d))
-	s.crash()
-	time.Sleep(d)
-	w.relaunchServer(s)
+	alone(&s.takes, func() {
+		w.note("%s crashes for %v", s.id, d.Round(time.Millisecond))
+		w.harm(s.id, time.Now().Add(d))
+		s.crash()
+		time.Sleep(d)
+		w.relaunchServer(s)
+	})
 }
 
 func serverDrain(w *world, target int, d time.Duration) {
 	s := w.server(target)
-	if !s.takes.TryLock() {
-		return
-	}
-	defer s.takes.Unlock()
-	w.note("%s leaves", s.id)
-	s.drain()
-	time.Sleep(leaveTime)
-	w.harm(s.id, time.Now().Add(d))
-	s.crash()
-	time.Sleep(d)
-	w.relaunchServer(s)
+	alone(&s.takes, func() {
+		w.note("%s leaves", s.id)
+		s.drain()
+		time.Sleep(leaveTime)
+		w.harm(s.id, time.Now().Add(d))
+		s.crash()
+		time.Sleep(d)
+		w.relaunchServer(s)
+	})
 }
 
 func (w *world) relaunchServer(s *server) {
