assigner: a gap at the end of the records means that another has claimed

An assigner was paused for 2.6 s, another claimed, and the store forgot its history; its confirmation then read from an offset that is gone, each time, and it took the gap for a failed read: it neither acted nor stepped down, and served by a map of 37 s before. A gap now says that records were appended, and the newest is read. Ruled out: the store's connections of that host (its configuration went on). Tests, failing before: TestTroublesAlone (assigner paused, replaced, and the history gone), with every host required to follow the one that leads.

--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -124,15 +124,16 @@
 	if m.role != leading {
 		return
 	}
-	m.confirmFailed = e.Result != StoreOK
+	m.confirmFailed = e.Result != StoreOK && e.Result != StoreConflict
 	if m.confirmFailed {
 		return
 	}
-	if e.End == m.end {
+	if e.Result == StoreOK && e.End == m.end {
 		m.confirmedAt = max(m.confirmedAt, e.Start)
 		return
 	}
-	if m.storeBusy || m.pending != nil || e.End < m.end {
+	older := e.Result == StoreOK && e.End < m.end
+	if m.storeBusy || m.pending != nil || older {
 		return // an append of our own is on its way, or the read is older than one
 	}
 	m.storeBusy = true
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -43,7 +43,8 @@
 	End    uint64
 }
 
-// Confirmed is the answer to a Confirm.
+// Confirmed is the answer to a Confirm. Its result is StoreConflict when records from
+// the known end on were appended and are gone again.
 type Confirmed struct {
 	Result StoreResult
 	Start  Time
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -87,7 +87,7 @@
 	switch {
 	case err == nil:
 		return assigner.StoreOK
-	case fault.KindOf(err) == fault.LogConflict:
+	case fault.KindOf(err) == fault.LogConflict, fault.KindOf(err) == fault.LogGap:
 		return assigner.StoreConflict
 	case fault.KindOf(err) == fault.InDoubt:
 		return assigner.StoreDoubt
--- a/cluster/troubles_test.go
+++ b/cluster/troubles_test.go
@@ -176,6 +176,11 @@
 			w.watch(600 * time.Millisecond)
 			w.setStore(func(s *fakeStore) { s.lost, s.cut[lead] = false, true })
 		}, func(w *world) { w.storeSound(); w.relist() }, 4 * time.Second, false},
+		{"assigner paused, replaced, and the history gone", func(w *world, _ *rand.Rand) {
+			w.pause(w.lead())
+			w.watch(2500 * time.Millisecond)
+			w.setStore(func(s *fakeStore) { s.assignmentGap = uint64(len(s.records)) })
+		}, (*world).thawAll, 500 * time.Millisecond, true},
 		{"history of the servers gone", storeOnly(func(s *fakeStore) { s.gapUntil = uint64(len(s.servers)) }), (*world).relist, time.Second, true},
 		{"all hosts killed", func(w *world, _ *rand.Rand) {
 			for _, name := range w.names() {
@@ -292,13 +297,27 @@
 func (w *world) requireRecovered(t *testing.T) {
 	t.Helper()
 	for end := time.Now().Add(recoverTime); time.Now().Before(end); w.watch(50 * time.Millisecond) {
-		if w.held() == sampled && len(w.leaders()) == 1 && w.everyHostKnows() {
+		if w.held() == sampled && len(w.leaders()) == 1 && w.everyHostFollows() && w.everyHostKnows() {
 			return
 		}
 	}
 	require.Fail(t, "not recovered", "%d of %d keys held, assigners %v", w.held(), sampled, w.leaders())
 }
 
+// everyHostFollows reports whether each host follows the one that leads.
+func (w *world) everyHostFollows() bool {
+	lead := w.lead()
+	for _, name := range w.names() {
+		c := w.host(name)
+		got := make(chan string, 1)
+		c.post(func() { got <- c.machine.Assigner().Name })
+		if <-got != lead {
+			return false
+		}
+	}
+	return true
+}
+
 // everyHostKnows reports whether each host's map names the holder of each key.
 func (w *world) everyHostKnows() bool {
 	for _, name := range w.names() {
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -36,10 +36,12 @@
 	down     bool
 	cut      map[string]bool // hosts that are turned away
 	gapUntil uint64          // records of servers below are gone
-	timeouts int             // reads of servers that get no answer
-	calls    int             // that were made
-	slow     time.Duration   // how much later every answer comes
-	silent   bool            // no call is answered, and nothing is done
+	// assignmentGap is the same for assignments; the newest one is kept.
+	assignmentGap uint64
+	timeouts      int           // reads of servers that get no answer
+	calls         int           // that were made
+	slow          time.Duration // how much later every answer comes
+	silent        bool          // no call is answered, and nothing is done
 	// lost makes appends end without an answer; they are done after late.
 	lost bool
 	late time.Duration
@@ -119,12 +121,15 @@
 	return at + 1, nil
 }
 
-func (s storeOf) AssignmentEnd(ctx context.Context, _ uint64) (uint64, error) {
+func (s storeOf) AssignmentEnd(ctx context.Context, from uint64) (uint64, error) {
 	if err := s.call(ctx); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if from < s.assignmentGap {
+		return 0, fault.New(fault.LogGap, "gone")
+	}
 	return uint64(len(s.records)), nil
 }
 
