--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -104,15 +104,7 @@
 }
 
 // pause waits for d, or less when the follower is woken.
-func (c *Cluster) pause(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.relink:
-	case <-c.ctx.Done():
-	}
-}
+func (c *Cluster) pause(d time.Duration) { waitFor(c.ctx, c.relink, d) }
 
 func (c *Cluster) nextQuestion() question {
 	report := c.takeReport()
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -117,12 +117,13 @@
 	c.outage.mu.Lock()
 	defer c.outage.mu.Unlock()
 	c.outage.failed++
+	failed := event.StoreCall{Call: what, Error: err.Error()}
 	if c.outage.failed == 1 {
 		c.outage.since = now
-		c.write(event.StoreLost{Call: what, Error: err.Error()})
+		c.write(event.StoreLost(failed))
 		return
 	}
-	c.write(event.StoreCallFailed{Call: what, Error: err.Error()})
+	c.write(event.StoreCallFailed(failed))
 }
 
 // awayAfter is the number of calls in a row that must fail before the store counts as
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 )
 
 const (
@@ -22,12 +23,10 @@
 	readAlone      = 700 * time.Millisecond
 	readAloneCrowd = 1400 * time.Millisecond
 	readTimeout    = 900 * time.Millisecond
-	// watchRetry is the first pause after a read that failed, watchLongest the
-	// longest for up to crowd hosts. It grows with their number, since the first that
-	// reaches the store again tells the others.
-	watchRetry   = 250 * time.Millisecond
-	watchLongest = 900 * time.Millisecond
-	crowd        = 20
+	// watchRetry is the first pause after a read that failed.
+	watchRetry = 250 * time.Millisecond
+	// crowd is the number of hosts from which each waits longer before it reads alone.
+	crowd = 20
 )
 
 // backoff doubles the pause between attempts.
@@ -35,8 +34,7 @@
 
 // next returns the pause after one more failure of one of so many hosts.
 func (b *backoff) next(hosts int) time.Duration {
-	longest := watchLongest * time.Duration(max(hosts, crowd)) / crowd
-	*b = min(max(2**b, backoff(watchRetry)), backoff(longest))
+	*b = min(max(2**b, backoff(watchRetry)), backoff(assigner.LongestRetry(hosts)))
 	return time.Duration(*b)
 }
 
@@ -105,7 +103,7 @@
 	var next uint64
 	var pause backoff
 	for c.ctx.Err() == nil {
-		if registered && (known && !c.mustRead() || c.mustRead() && c.storeAway()) {
+		if registered && c.hostsRest(known) {
 			c.sleep(idleCheck)
 			continue
 		}
@@ -125,6 +123,15 @@
 	}
 }
 
+// hostsRest reports whether the watch of a registered host has nothing to read: the
+// assigner tells it, or the store is away.
+func (c *Cluster) hostsRest(known bool) bool {
+	if c.mustRead() {
+		return c.storeAway()
+	}
+	return known
+}
+
 func (c *Cluster) readHosts(registered *bool, known bool, next uint64) ([]assigner.Host, uint64, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, hostsWait+pollSlack)
 	defer cancel()
@@ -163,10 +170,5 @@
 
 // sleep waits for d or until the cluster stops.
 func (c *Cluster) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.ctx.Done():
-	}
+	_ = wait.Sleep(c.ctx, d) // whoever waits looks at ctx itself
 }
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 	"github.com/lacewingsaddle/lacewingsaddle/routetable"
 )
@@ -61,7 +62,7 @@
 	if silent {
 		<-ctx.Done()
 	}
-	if err := sleepCtx(ctx, 2*hop+slow); err != nil {
+	if err := wait.Sleep(ctx, 2*hop+slow); err != nil {
 		return fault.Wrap(fault.LogUnavailable, err, "store")
 	}
 	s.mu.Lock()
@@ -72,17 +73,6 @@
 	return nil
 }
 
-func sleepCtx(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (s storeOf) LoadAssignment(ctx context.Context) ([]byte, uint64, error) {
 	if err := s.call(ctx); err != nil {
 		return nil, 0, err
@@ -174,8 +164,8 @@
 	return s.ReadConfig(ctx, 0, 0)
 }
 
-func (s storeOf) ReadConfig(ctx context.Context, from uint64, wait time.Duration) ([]byte, uint64, error) {
-	for end := time.Now().Add(wait); ; {
+func (s storeOf) ReadConfig(ctx context.Context, from uint64, within time.Duration) ([]byte, uint64, error) {
+	for end := time.Now().Add(within); ; {
 		if err := s.call(ctx); err != nil {
 			return nil, from, err
 		}
@@ -189,7 +179,7 @@
 		if data != nil || !time.Now().Before(end) {
 			return data, n, nil
 		}
-		_ = sleepCtx(ctx, 50*time.Millisecond) // the next call reports the end of ctx
+		_ = wait.Sleep(ctx, 50*time.Millisecond) // the next call reports the end of ctx
 	}
 }
 
@@ -219,8 +209,8 @@
 	return s.ReadHosts(ctx, 0, 0)
 }
 
-func (s storeOf) ReadHosts(ctx context.Context, from uint64, wait time.Duration) ([]assigner.Host, uint64, error) {
-	for end := time.Now().Add(wait); ; {
+func (s storeOf) ReadHosts(ctx context.Context, from uint64, within time.Duration) ([]assigner.Host, uint64, error) {
+	for end := time.Now().Add(within); ; {
 		if err := s.call(ctx); err != nil {
 			return nil, from, err
 		}
@@ -230,7 +220,7 @@
 		if len(out) > 0 || !time.Now().Before(end) {
 			return out, from + uint64(len(out)), nil
 		}
-		_ = sleepCtx(ctx, 50*time.Millisecond) // the next call reports the end of ctx
+		_ = wait.Sleep(ctx, 50*time.Millisecond) // the next call reports the end of ctx
 	}
 }
 
@@ -504,7 +494,7 @@
 
 // Grant implements Backends.
 func (w *world) Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, _ string) (assigner.CallResult, error) {
-	if err := sleepCtx(ctx, hop); err != nil {
+	if err := wait.Sleep(ctx, hop); err != nil {
 		return assigner.CallFailed, err
 	}
 	w.mu.Lock()
@@ -523,7 +513,7 @@
 	}
 	result := s.take(r, hold)
 	w.mu.Unlock()
-	return result, sleepCtx(ctx, hop)
+	return result, wait.Sleep(ctx, hop)
 }
 
 // grantInTheDark lets a grant arrive, or not, without an answer. Its time counts
@@ -559,7 +549,7 @@
 
 // Release implements Backends.
 func (w *world) Release(ctx context.Context, addr string, r keyrange.Range) (string, assigner.CallResult, error) {
-	if err := sleepCtx(ctx, hop); err != nil {
+	if err := wait.Sleep(ctx, hop); err != nil {
 		return "", assigner.CallFailed, err
 	}
 	w.mu.Lock()
@@ -587,7 +577,7 @@
 
 // Try implements Backends.
 func (w *world) Try(ctx context.Context, addr string) error {
-	if err := sleepCtx(ctx, 2*hop); err != nil {
+	if err := wait.Sleep(ctx, 2*hop); err != nil {
 		return err
 	}
 	w.mu.Lock()
@@ -608,7 +598,7 @@
 }
 
 func (p peersOf) reach(ctx context.Context, addr string) (*Cluster, error) {
-	if err := sleepCtx(ctx, hop); err != nil {
+	if err := wait.Sleep(ctx, hop); err != nil {
 		return nil, err
 	}
 	if p.w.isSilent(p.from, addr) {
@@ -642,7 +632,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return copyAnswer(a), sleepCtx(ctx, hop)
+	return copyAnswer(a), wait.Sleep(ctx, hop)
 }
 
 // copyAnswer passes an answer through its encoding, as between processes.
--- a/control/loop.go
+++ b/control/loop.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
@@ -174,10 +175,5 @@
 }
 
 func (l *Loop) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-l.ctx.Done():
-	}
+	_ = wait.Sleep(l.ctx, d) // whoever waits looks at ctx itself
 }
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -280,20 +280,20 @@
 // Text implements Event.
 func (e ConfigUnusable) Text() string { return "configuration unusable: " + e.Error }
 
-// StoreCallFailed says that a call to the store failed.
-type StoreCallFailed struct {
+// StoreCall is a call to the store that failed.
+type StoreCall struct {
 	Call  string `json:"call"`
 	Error string `json:"error"`
 }
 
+// StoreCallFailed says that a call to the store failed.
+type StoreCallFailed StoreCall
+
 // Text implements Event.
 func (e StoreCallFailed) Text() string { return "the store did not " + e.Call + ": " + e.Error }
 
 // StoreLost says that calls to the store have begun to fail.
-type StoreLost struct {
-	Call  string `json:"call"`
-	Error string `json:"error"`
-}
+type StoreLost StoreCall
 
 // Text implements Event.
 func (e StoreLost) Text() string { return "lost the store: " + e.Error }
--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 package event
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 	"strings"
@@ -27,10 +28,12 @@
 	message string // the line's message, with the prefix of its part
 	level   zapcore.Level
 	event   reflect.Type
+	layout  []field
 }
 
 func row[E Event](level zapcore.Level, message string) kind {
-	return kind{message: message, level: level, event: reflect.TypeFor[E]()}
+	t := reflect.TypeFor[E]()
+	return kind{message: message, level: level, event: t, layout: layoutOf(t)}
 }
 
 const (
@@ -95,14 +98,12 @@
 var (
 	byType    = map[reflect.Type]kind{}
 	byMessage = map[string]kind{}
-	layouts   = map[reflect.Type][]field{}
 )
 
 func init() {
 	for _, k := range kinds {
 		byType[k.event] = k
 		byMessage[k.message] = k
-		layouts[k.event] = layoutOf(k.event)
 	}
 }
 
@@ -129,16 +130,17 @@
 func Write(logger *zap.Logger, e Event) {
 	k := byType[reflect.TypeOf(e)]
 	if ce := logger.Check(k.level, k.message); ce != nil {
-		ce.Write(Fields(e)...)
+		ce.Write(k.fields(e)...)
 	}
 }
 
 // Fields returns the fields of e's line.
-func Fields(e Event) []zap.Field {
+func Fields(e Event) []zap.Field { return byType[reflect.TypeOf(e)].fields(e) }
+
+func (k kind) fields(e Event) []zap.Field {
 	v := reflect.ValueOf(e)
-	layout := layouts[v.Type()]
-	out := make([]zap.Field, 0, len(layout))
-	for _, f := range layout {
+	out := make([]zap.Field, 0, len(k.layout))
+	for _, f := range k.layout {
 		value := v.Field(f.index)
 		if f.omitEmpty && value.IsZero() {
 			continue
@@ -195,7 +197,7 @@
 // log collector, is left out. Errors are of kind BadMessage; a line of a message
 // that is not in the list, or of plain text, is NotFound.
 func Parse(text []byte) (Line, error) {
-	start := strings.IndexByte(string(text), '{')
+	start := bytes.IndexByte(text, '{')
 	if start < 0 {
 		return Line{}, fault.New(fault.NotFound, "the line holds no JSON object")
 	}
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -77,7 +77,7 @@
 		prefix, _, _ := strings.Cut(k.message, ": ")
 		require.Contains(t, []string{"edge", "gateway", "cluster", "log"}, prefix)
 		names := map[string]bool{}
-		for _, f := range layouts[k.event] {
+		for _, f := range k.layout {
 			require.NotEmpty(t, f.name, k.event.Name())
 			require.False(t, names[f.name], k.event.Name()+"."+f.name)
 			require.NotContains(t, []string{"ts", "msg", "level", "logger", "host"}, f.name)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -42,24 +42,24 @@
 	for {
 		s, err := g.locate(q)
 		if err != nil {
-			return q.failure, orFailure(q, err)
+			return q.giveUp(err)
 		}
 		a, err := g.enterAndSend(q, s)
 		if err == nil {
 			return a, nil
 		}
 		if !g.again(q, s, err) {
-			return q.failure, orFailure(q, err)
+			return q.giveUp(err)
 		}
 	}
 }
 
-// orFailure returns no error when a server's failure is the answer, else err.
-func orFailure(q *request, err error) error {
+// giveUp returns the server's failure that is the answer, else err.
+func (q *request) giveUp(err error) (*upstream.Response, error) {
 	if q.failure != nil {
-		return nil
+		return q.failure, nil
 	}
-	return err
+	return nil, err
 }
 
 // locate returns the backend server that q goes to next.
@@ -125,11 +125,7 @@
 
 // ownerIn returns the server that holds the key in a view, or nil.
 func (g *Gateway) ownerIn(q *request, view *cluster.View) *server {
-	t := view.Owners.Table(q.service.Name)
-	if t == nil {
-		return nil
-	}
-	r := t.Find(q.key)
+	r := grantOf(q, view)
 	if r == nil || !r.Granted {
 		return nil
 	}
--- a/gateway/repeat.go
+++ b/gateway/repeat.go
@@ -6,6 +6,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
@@ -76,10 +77,7 @@
 	if why := g.takeTry(q); why != "" {
 		return why
 	}
-	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
-		return event.ReasonEnded
-	}
-	return ""
+	return q.pauseWhileFull()
 }
 
 // mayRepeatFull decides on a request whose server takes no more connections.
@@ -87,7 +85,12 @@
 	if q.left() < q.target()/4 {
 		return event.ReasonNoTime
 	}
-	if q.keyed && !q.pause(afterFull*time.Duration(q.sends)) {
+	return q.pauseWhileFull()
+}
+
+// pauseWhileFull waits before a key's owner that was full is asked again.
+func (q *request) pauseWhileFull() event.Reason {
+	if q.keyed && wait.Sleep(q.ctx, afterFull*time.Duration(q.sends)) != nil {
 		return event.ReasonEnded
 	}
 	return ""
@@ -121,6 +124,7 @@
 	}
 }
 
+// grantOf returns the range of q's key in a view, or nil.
 func grantOf(q *request, view *cluster.View) *keyrange.Range {
 	t := view.Owners.Table(q.service.Name)
 	if t == nil {
@@ -128,15 +132,3 @@
 	}
 	return t.Find(q.key)
 }
-
-// pause waits for d and reports whether the request still has time.
-func (q *request) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-q.ctx.Done():
-		return false
-	}
-}
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -131,7 +131,7 @@
 		Request:  q.id,
 		Route:    q.routeName(),
 		Service:  q.service.Name,
-		Server:   q.lastTried(),
+		Server:   q.last,
 		Status:   status,
 		Sends:    q.sends,
 		TookMS:   event.Millis(took),
@@ -181,7 +181,7 @@
 	g.Metrics.count("answers_broken")
 	g.write(event.AnswerBroken{
 		Request: q.id,
-		Server:  q.lastTried(),
+		Server:  q.last,
 		Bytes:   passed,
 		AfterMS: event.Millis(time.Since(q.arrived)),
 		Error:   event.ErrorText(err),
@@ -201,6 +201,3 @@
 	}
 	return q.service.Name
 }
-
-// lastTried returns the server that the request was sent to last, "" for none.
-func (q *request) lastTried() string { return q.last }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 )
 
@@ -50,14 +51,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Sleep(ctx, d) == nil
 }
 
 // attempt sends q once. It looks the destination up again, without counting an
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,6 +91,15 @@
 func (w *world) host(target int) *host     { return w.hosts[target%len(w.hosts)] }
 func (w *world) server(target int) *server { return w.servers[target%len(w.servers)] }
 
+// during lets a fault of a subject last for d.
+func (w *world) during(subject string, d time.Duration, begin, end func()) {
+	w.harm(subject, time.Now().Add(d))
+	begin()
+	time.Sleep(d)
+	end()
+	w.harm(subject, time.Now())
+}
+
 // alone runs f unless another fault of the same process is in force.
 func alone(process *sync.Mutex, f func()) {
 	if !process.TryLock() {
@@ -105,7 +114,6 @@
 	if err := h.launch(); err != nil {
 		w.violate("SOAK", "start %s: %v", h.name, err)
 	}
-	w.harm(h.name, time.Now())
 }
 
 func plannedStop(w *world, target int, d time.Duration) {
@@ -115,6 +123,7 @@
 		h.stopAsPlanned()
 		time.Sleep(d / 4)
 		w.relaunch(h)
+		w.harm(h.name, time.Now())
 	})
 }
 
@@ -122,10 +131,7 @@
 	h := w.host(target)
 	alone(&h.takes, func() {
 		w.note("%s is killed for %v", h.name, d.Round(time.Millisecond))
-		w.harm(h.name, time.Now().Add(d))
-		h.kill()
-		time.Sleep(d)
-		w.relaunch(h)
+		w.during(h.name, d, h.kill, func() { w.relaunch(h) })
 	})
 }
 
@@ -134,11 +140,7 @@
 	alone(&h.takes, func() {
 		w.note("%s is paused for %v", h.name, d.Round(time.Millisecond))
 		w.harm(h.name, time.Now().Add(d+time.Second))
-		h.signal(syscall.SIGSTOP, false)
-		time.Sleep(d)
-		h.thawed.Store(time.Now().UnixNano())
-		h.signal(syscall.SIGCONT, false)
-		w.harm(h.name, time.Now())
+		w.during(h.name, d, h.stopRunning, h.thaw)
 	})
 }
 
@@ -158,10 +160,7 @@
 			defer running.Done()
 			h.takes.Lock()
 			defer h.takes.Unlock()
-			w.harm(h.name, time.Now().Add(d/4))
-			h.kill()
-			time.Sleep(d / 4)
-			w.relaunch(h)
+			w.during(h.name, d/4, h.kill, func() { w.relaunch(h) })
 		}()
 	}
 	running.Wait()
@@ -174,11 +173,7 @@
 func (w *world) harmConnections(p *Proxy, what, subject string, target int, d time.Duration) {
 	m := modes[target%len(modes)]
 	w.note("%s: %s for %v", what, m, d.Round(time.Millisecond))
-	w.harm(subject, time.Now().Add(d))
-	p.Set(m)
-	time.Sleep(d)
-	p.Set(Pass)
-	w.harm(subject, time.Now())
+	w.during(subject, d, func() { p.Set(m) }, func() { p.Set(Pass) })
 }
 
 func harmCallers(w *world, target int, d time.Duration) {
@@ -202,11 +197,7 @@
 func storeFault(w *world, target int, d time.Duration) {
 	f := storeFaults[target%len(storeFaults)]
 	w.note("store goes wrong (%d) for %v", f, d.Round(time.Millisecond))
-	w.harm("store", time.Now().Add(d))
-	w.store.SetFault(f)
-	time.Sleep(d)
-	w.store.SetFault(platformtest.Sound)
-	w.harm("store", time.Now())
+	w.during("store", d, func() { w.store.SetFault(f) }, func() { w.store.SetFault(platformtest.Sound) })
 }
 
 func compact(w *world, _ int, _ time.Duration) {
@@ -219,10 +210,7 @@
 	s := w.server(target)
 	alone(&s.takes, func() {
 		w.note("%s crashes for %v", s.id, d.Round(time.Millisecond))
-		w.harm(s.id, time.Now().Add(d))
-		s.crash()
-		time.Sleep(d)
-		w.relaunchServer(s)
+		w.during(s.id, d, s.crash, func() { w.relaunchServer(s) })
 	})
 }
 
@@ -232,10 +220,7 @@
 		w.note("%s leaves", s.id)
 		s.drain()
 		time.Sleep(leaveTime)
-		w.harm(s.id, time.Now().Add(d))
-		s.crash()
-		time.Sleep(d)
-		w.relaunchServer(s)
+		w.during(s.id, d, s.crash, func() { w.relaunchServer(s) })
 	})
 }
 
@@ -245,5 +230,4 @@
 		return
 	}
 	s.beat()
-	w.harm(s.id, time.Now())
 }
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -152,6 +152,14 @@
 	<-h.done()
 }
 
+// stopRunning pauses the process, thaw lets it go on.
+func (h *host) stopRunning() { h.signal(syscall.SIGSTOP, false) }
+
+func (h *host) thaw() {
+	h.thawed.Store(time.Now().UnixNano())
+	h.signal(syscall.SIGCONT, false)
+}
+
 func (h *host) done() chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/standin/logsvc/faults.go
+++ b/standin/logsvc/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 )
 
 // Outage says how the service fails during an outage.
@@ -109,16 +111,4 @@
 }
 
 // sleep waits for d and reports whether ctx was still alive then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return wait.Sleep(ctx, d) == nil }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 )
 
 // readBuffer is the size of a connection's read buffer, in bytes.
@@ -62,12 +64,7 @@
 // server resets connections beyond its cap as soon as it has accepted them, which
 // shows here one round trip after the connection was opened.
 func (c *conn) staysOpen(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = wait.Sleep(ctx, d) // the exchange itself notices that ctx has ended
 	return c.quiet()
 }
 
