Metrics: store calls by result, what is left of a budget; counters by the library

The control loop's own Counter type gives way to go-metrics, which the house style names and the gateway uses.

--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -32,7 +32,7 @@
 // by another host. All sends happen within grantSpan of the machine's decision:
 // a successor counts on it.
 func (c *Cluster) grant(decided time.Duration, a assigner.Grant) {
-	c.stats.Grants.Add(1)
+	c.stats.Grants.Inc(1)
 	result, err := assigner.CallUnsent, error(nil)
 	if c.cfg.Clock()-decided < decisionAge {
 		result, err = c.grantDirect(a)
@@ -42,7 +42,7 @@
 		result, _ = c.relay(call, result, decided+grantSpan)
 	}
 	if result != assigner.CallOK {
-		c.stats.GrantFails.Add(1)
+		c.stats.GrantFails.Inc(1)
 		c.write(event.GrantFailed(grantLine(a.Range, a.Range.Owner, result, err)))
 	}
 	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
@@ -58,7 +58,7 @@
 // release takes a range back. A server that this host cannot reach is called by
 // another host.
 func (c *Cluster) release(ctx context.Context, a assigner.Release) {
-	c.stats.Releases.Add(1)
+	c.stats.Releases.Inc(1)
 	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
 	if !reached(result) {
 		call := hostlink.Call{Address: a.Address, Range: a.Range, Release: true}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -70,7 +70,7 @@
 	peers    Peers
 	logger   *zap.Logger
 	views    *views
-	stats    Stats
+	stats    *Stats
 
 	events chan func()
 	ctx    context.Context
@@ -100,18 +100,6 @@
 	relink chan struct{} // wakes the follower
 }
 
-// Stats counts what the control loop did.
-type Stats struct {
-	StoreCalls Counter
-	StoreFails Counter
-	Grants     Counter
-	GrantFails Counter
-	Releases   Counter
-	Epochs     Counter
-	MapChanges Counter
-	Moves      Counter
-}
-
 // New returns a cluster that is not started.
 func New(cfg Config, store Store, backends Backends, peers Peers, logger *zap.Logger) *Cluster {
 	if cfg.Clock == nil {
@@ -124,6 +112,7 @@
 		peers:    peers,
 		logger:   logger.Named("cluster"),
 		views:    newViews(),
+		stats:    newStats(),
 		events:   make(chan func(), eventQueue),
 		hosts:    map[string]knownHost{cfg.Self.Name: {Host: cfg.Self}},
 		relink:   make(chan struct{}, 1),
@@ -165,7 +154,7 @@
 func (c *Cluster) write(e event.Event) { event.Write(c.logger, e) }
 
 // Stats returns the counters.
-func (c *Cluster) Stats() *Stats { return &c.stats }
+func (c *Cluster) Stats() *Stats { return c.stats }
 
 // Start begins to watch and to take part.
 func (c *Cluster) Start() {
@@ -261,7 +250,7 @@
 	}
 	c.ledBefore = leads
 	c.views.change(func(v *View) { v.Leads = leads })
-	c.stats.Epochs.Add(1)
+	c.stats.Epochs.Inc(1)
 	c.write(event.RoleChanged{Assigner: leads, Epoch: c.machine.Epoch(), SilenceMS: event.Millis(c.machine.Silence(now))})
 	c.wakeFollower()
 }
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -5,10 +5,12 @@
 	"testing/synctest"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
 const (
@@ -366,3 +368,16 @@
 	defer s.mu.Unlock()
 	return s.calls
 }
+
+// Calls to the store are counted by how they ended.
+func TestStoreCallsAreCountedByResult(t *testing.T) {
+	s := newStats()
+	for _, err := range []error{nil, nil, fault.New(fault.LogConflict, "x"), fault.New(fault.InDoubt, "x")} {
+		s.storeCall(err)
+	}
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, s.StoreResults).Count() }
+	require.Equal(t, int64(4), s.StoreCalls.Count())
+	require.Equal(t, int64(2), count("store_calls.done"))
+	require.Equal(t, int64(1), count("store_calls.log-conflict"))
+	require.Equal(t, int64(1), count("store_calls.in-doubt"))
+}
--- /dev/null
+++ b/cluster/stats.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+// Stats counts what the control loop did.
+type Stats struct {
+	StoreCalls metrics.Counter
+	StoreFails metrics.Counter
+	Grants     metrics.Counter
+	GrantFails metrics.Counter
+	Releases   metrics.Counter
+	Epochs     metrics.Counter
+	MapChanges metrics.Counter
+	Moves      metrics.Counter
+	// StoreResults counts the calls to the store by how they ended.
+	StoreResults metrics.Registry
+}
+
+func newStats() *Stats {
+	return &Stats{
+		StoreCalls:   metrics.NewCounter(),
+		StoreFails:   metrics.NewCounter(),
+		Grants:       metrics.NewCounter(),
+		GrantFails:   metrics.NewCounter(),
+		Releases:     metrics.NewCounter(),
+		Epochs:       metrics.NewCounter(),
+		MapChanges:   metrics.NewCounter(),
+		Moves:        metrics.NewCounter(),
+		StoreResults: metrics.NewRegistry(),
+	}
+}
+
+// storeCall counts a call to the store.
+func (s *Stats) storeCall(err error) {
+	s.StoreCalls.Inc(1)
+	result := "done"
+	if err != nil {
+		result = string(fault.KindOf(err))
+	}
+	metrics.GetOrRegisterCounter("store_calls."+result, s.StoreResults).Inc(1)
+}
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -64,7 +64,7 @@
 
 func (c *Cluster) noteMoves(a assigner.Append) {
 	for _, m := range a.Moves {
-		c.stats.Moves.Add(1)
+		c.stats.Moves.Inc(1)
 		c.write(event.RangeMoved{
 			Service:  m.Service,
 			From:     uint16(m.Range.From),
@@ -107,12 +107,12 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	c.stats.StoreCalls.Add(1)
+	c.stats.storeCall(err)
 	if err == nil || fault.KindOf(err) == fault.LogConflict || fault.KindOf(err) == fault.LogGap {
 		c.noteStoreAnswered()
 		return
 	}
-	c.stats.StoreFails.Add(1)
+	c.stats.StoreFails.Inc(1)
 	now := c.cfg.Clock() // before the lock: a host that is paused here must not hold it
 	c.outage.mu.Lock()
 	defer c.outage.mu.Unlock()
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -25,7 +25,7 @@
 		m = old.Apply(m)
 	}
 	m.KeepGranted(old)
-	c.stats.MapChanges.Add(1)
+	c.stats.MapChanges.Inc(1)
 	c.noteMap(m)
 	c.views.change(func(v *View) { v.Owners = m })
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,6 +229,7 @@
 
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(h.gateway.Metrics.Registry, w)
+	metrics.WriteOnce(h.cluster.Stats().StoreResults, w)
 	h.writeClusterMetrics(w)
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -33,15 +33,15 @@
 	lines := []line{
 		{"assigner", toNumber(v.Leads)},
 		{"map_age_ms", h.cluster.MapAge().Milliseconds()},
-		{"ranges_moved", s.Moves.Value()},
+		{"ranges_moved", s.Moves.Count()},
 		{"log_lines_dropped", h.dropped()},
-		{"store_calls", s.StoreCalls.Value()},
-		{"store_calls_failed", s.StoreFails.Value()},
-		{"grants", s.Grants.Value()},
-		{"grants_failed", s.GrantFails.Value()},
-		{"releases", s.Releases.Value()},
-		{"role_changes", s.Epochs.Value()},
-		{"map_changes", s.MapChanges.Value()},
+		{"store_calls", s.StoreCalls.Count()},
+		{"store_calls_failed", s.StoreFails.Count()},
+		{"grants", s.Grants.Count()},
+		{"grants_failed", s.GrantFails.Count()},
+		{"releases", s.Releases.Count()},
+		{"role_changes", s.Epochs.Count()},
+		{"map_changes", s.MapChanges.Count()},
 		{"backend_servers", int64(len(v.Servers.Servers))},
 		{"entry_hosts", int64(v.Hosts)},
 		{"requests_active", h.gateway.Active()},
@@ -52,6 +52,9 @@
 	if v.Routes != nil {
 		lines = append(lines, line{"configuration", int64(v.Routes.Version)})
 	}
+	for _, b := range h.gateway.Budgets() {
+		lines = append(lines, line{"second_tries_left." + b.Service, b.Left})
+	}
 	for _, l := range lines {
 		if _, err := fmt.Fprintf(w, "%s %d\n", l.name, l.value); err != nil {
 			return // the reader has left
--- a/gateway/decisions_test.go
+++ b/gateway/decisions_test.go
@@ -148,3 +148,19 @@
 	}
 	require.Greater(t, here, 800)
 }
+
+// What is left of a budget shows what requests allow and what tries have taken.
+func TestBudgetsLeft(t *testing.T) {
+	inBench(t, func(t *testing.T, b *bench) {
+		g := b.gateway
+		require.Empty(t, g.Budgets())
+		for range 10 {
+			g.countRequest("stock")
+		}
+		require.True(t, g.secondTry("stock"))
+		allowed := budgetMargin * (0.2*10 + 10) // the bench's rule: ratio and extra
+		require.Equal(t, []BudgetLeft{{Service: "stock", Left: int64(allowed) - 1}}, g.Budgets())
+		time.Sleep(11 * time.Second) // the window is over
+		require.Equal(t, int64(7), g.Budgets()[0].Left, "three quarters of the ten that need no requests")
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,6 +135,28 @@
 	return false
 }
 
+// BudgetLeft is what is left of a service's budget of second tries at this host.
+type BudgetLeft struct {
+	Service string
+	Left    int64
+}
+
+// Budgets returns what is left of each budget, by the service's name.
+func (g *Gateway) Budgets() []BudgetLeft {
+	hosts := g.control.View().Hosts
+	now := time.Since(g.started)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]BudgetLeft, 0, len(g.budgets))
+	for service, b := range g.budgets {
+		b.advance(now)
+		s := b.state(hosts)
+		out = append(out, BudgetLeft{Service: service, Left: int64(s.allowed) - int64(s.tries)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
 // budget returns the budget of a service. The caller holds mu.
 func (g *Gateway) budget(service string) *budget {
 	b := g.budgets[service]
