assigner: a lost claim is not appended again behind the winner's record

A host whose claim met a conflict heard of the winner before it had read the store; its own idea of the newest record then equalled the store's, which it took for 'nothing was appended since mine', and it appended its claim behind the winner's: the same epoch twice, or an older one after a newer, with tokens that were out already, which servers refuse or, in the same epoch, cannot tell apart. Now a record in doubt is appended again only while the partition ends where it was to be appended. Ruled out: load (the log shows the record of epoch 3 at offset 6, epoch 4 at 5). The tests' world starts hosts when a trouble needs one and none is left.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -107,6 +107,7 @@
 	record       bool // grant before the record is in the store
 	newFence     bool // hand out the same token again
 	raisedFence  bool // release with the old owner's token
+	samePlace    bool // append a record in doubt again wherever the partition ends
 }
 
 // role is what this host is in the protocol.
@@ -144,9 +145,11 @@
 	confirmFailed  bool
 	troubled       bool // grants are lengthened
 
-	pending *Record // record whose append is outstanding or in doubt
-	ranges  []*rangeState
-	change  uint64
+	// pending is the record whose append at pendingAt is outstanding or in doubt.
+	pending   *Record
+	pendingAt uint64
+	ranges    []*rangeState
+	change    uint64
 
 	servers  *directory.Snapshot
 	sharded  []string
--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -126,14 +126,16 @@
 	m.do(Publish{Map: out})
 }
 
-// resolve settles an append in doubt. It reports whether the load was used up.
+// resolve settles an append in doubt. It reports whether the load was used up. The
+// record is appended again only while the partition ends where it was to be
+// appended: what this host has heard from others since says nothing of the store.
 func (m *Machine) resolve(now Time, e Loaded, rec Record) bool {
 	p := *m.pending
 	if rec.Assigner == p.Assigner && rec.Version() == p.Version() {
 		m.StepAppended(now, Appended{Result: StoreOK, Start: e.Start, End: e.End})
 		return true
 	}
-	if rec.Version() == m.known.Version() && rec.Assigner == m.known.Assigner {
+	if e.End == m.pendingAt || m.omit.samePlace {
 		m.storeBusy = true // the same bytes again: a late first append changes nothing
 		m.do(Append{At: m.end, Record: p})
 		return true
@@ -184,7 +186,7 @@
 }
 
 func (m *Machine) append(rec Record, moves []Move) {
-	m.pending = &rec
+	m.pending, m.pendingAt = &rec, m.end
 	m.storeBusy = true
 	if m.omit.record && m.role == leading {
 		m.adopt(m.planned, rec)
--- a/assigner/model_test.go
+++ b/assigner/model_test.go
@@ -82,6 +82,7 @@
 		{"grant before the record", omissions{record: true}, false},
 		{"fence reuse", omissions{newFence: true}, false},
 		{"release with the old token", omissions{raisedFence: true}, false},
+		{"a lost claim is appended again", omissions{samePlace: true}, false},
 		{"suspension not counted", omissions{}, true},
 	}
 	for _, c := range cases {
--- a/assigner/model_world_test.go
+++ b/assigner/model_world_test.go
@@ -210,6 +210,7 @@
 	for _, other := range w.hosts {
 		if other != h && w.now >= other.paused && other.machine.Leads(w.clock(other)) && (w.calm || w.chance(30)) {
 			h.machine.HeardAssigner(w.clock(h), other.machine.Epoch())
+			h.machine.LearnAssigner(w.clock(h), other.machine.Epoch(), other.machine.Assigner())
 			other.machine.AddReport(w.clock(other), h.name, Report{})
 		}
 	}
@@ -298,6 +299,7 @@
 		if n := len(w.records); n == 0 || w.records[n-1].Epoch != a.Record.Epoch {
 			w.epochs++
 		}
+		w.checkOrder(a.Record)
 		w.records = append(w.records, a.Record)
 		w.moves++
 		return true
@@ -325,6 +327,20 @@
 	w.answer(h, func(m *Machine, now Time) { m.StepAppended(now, e) })
 }
 
+// checkOrder checks that epochs rise and that each has one assigner, or none after
+// its resignation.
+func (w *world) checkOrder(rec Record) {
+	n := len(w.records)
+	if n == 0 {
+		return
+	}
+	last := w.records[n-1]
+	resigned := rec.Assigner == Host{}
+	if rec.Epoch < last.Epoch || rec.Epoch == last.Epoch && rec.Assigner != last.Assigner && !resigned {
+		w.err = fmt.Errorf("epoch %d of %s recorded after epoch %d of %s", rec.Epoch, rec.Assigner.Name, last.Epoch, last.Assigner.Name)
+	}
+}
+
 // server returns the server at an address if h reaches it.
 func (w *world) server(h *modelHost, addr string) *modelServer {
 	i := slices.IndexFunc(w.servers, func(s *modelServer) bool { return s.addr == addr })
--- a/cluster/troubles_test.go
+++ b/cluster/troubles_test.go
@@ -33,11 +33,19 @@
 	if all := w.leaders(); len(all) > 0 {
 		return all[0]
 	}
-	return w.names()[0]
+	return w.present()[0]
+}
+
+// present returns the hosts, and starts some when there is none left.
+func (w *world) present() []string {
+	if len(w.names()) == 0 {
+		w.replaceHosts()
+	}
+	return w.names()
 }
 
 func (w *world) anyHost(r *rand.Rand) string {
-	names := w.names()
+	names := w.present()
 	return names[r.IntN(len(names))]
 }
 
@@ -188,7 +196,7 @@
 			}
 		}, (*world).replaceHosts, time.Second, false},
 		{"all hosts but one killed", func(w *world, _ *rand.Rand) {
-			for _, name := range w.names()[1:] {
+			for _, name := range w.present()[1:] {
 				w.kill(name)
 			}
 		}, (*world).replaceHosts, 2 * time.Second, true},
@@ -374,9 +382,6 @@
 	var last *trouble
 	for range 4 {
 		tr := list[r.IntN(len(list))]
-		if len(w.names()) == 0 {
-			w.replaceHosts()
-		}
 		tr.begin(w, r)
 		w.watch(time.Duration(r.Int64N(int64(tr.lasts))))
 		if last != nil {
