upstream, gateway: bound what a server may send, and never take a second copy for an answer

Cause: http.ReadResponse reads a head without a bound, so one server that sends a header line without end fills the host's memory. An error response without an id was taken for the answer of whatever request waited, also on a reused connection, where it may be a second copy. A retry kept its id and could go out on the connection of the attempt before: a second copy of 'not run' then answered the retry, which ran. A body without a length that broke off after its first megabyte reached a caller of HTTP/1.0 as complete. HEAD with a length was answered 502.

Bodies beyond 32 KiB are buffered from a tenth of the host's memory, else streamed. An error without an id on a reused connection leaves the outcome open; on a fresh one it can only belong to the one request sent there. A retry uses another connection than the attempts before. Connections that carried HEAD are not reused. A caller of HTTP/1.0 sees a reset.

Ruled out: truncated responses for callers of HTTP/1.1, at 16 points of head, body and chunks.

--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -35,6 +35,9 @@
 	// memoryShare is the fraction of the host's memory that is set as the garbage
 	// collector's soft memory limit, above which it runs more often.
 	memoryShare = 0.6
+	// bufferShare is the fraction of the host's memory for response bodies that are
+	// buffered.
+	bufferShare = 0.1
 )
 
 type arguments struct {
@@ -95,9 +98,10 @@
 		StopGrace: s.StopGrace,
 		HoldMax:   s.HoldMax,
 		Gateway: gateway.Config{
-			Domain:  s.Domain,
-			Headers: platform.Headers(),
-			Budget:  gateway.BudgetRule{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+			Domain:      s.Domain,
+			Headers:     platform.Headers(),
+			Budget:      gateway.BudgetRule{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+			BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 		},
 	}
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -20,8 +20,9 @@
 	plainTextType = "text/plain; charset=utf-8"
 )
 
-// writeResponse forwards a backend server's response to the caller.
+// writeResponse forwards a backend server's response to the caller and closes it.
 func (g *Gateway) writeResponse(w http.ResponseWriter, q *request, a *upstream.Response) {
+	defer a.Close()
 	h := w.Header()
 	for name, values := range endToEnd(a.Header) {
 		h[name] = values
@@ -48,13 +49,35 @@
 	} else {
 		g.recordResponseAborted(q, passed, err)
 	}
-	panic(http.ErrAbortHandler) // a truncated response must not look complete
+	abort(w, q.in, a)
+}
+
+// abort ends the caller's connection so that a response of which only a part was
+// passed on does not look complete. For a caller that speaks HTTP/1.0, a body without
+// a length ends with its connection, so that connection is reset.
+func abort(w http.ResponseWriter, r *http.Request, a *upstream.Response) {
+	if !r.ProtoAtLeast(1, 1) && a.Length < 0 {
+		resetConnection(w)
+	}
+	panic(http.ErrAbortHandler) // net/http closes the connection
+}
+
+// resetConnection closes the caller's connection with a reset. The connection is left
+// to net/http if it cannot be taken over.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // the connection has ended already
+	}
+	_ = conn.Close()
 }
 
 // writeRest streams the rest of a long response. It returns the number of bytes
 // written to the caller, including passed.
 func writeRest(w io.Writer, a *upstream.Response, passed int64, err error) (int64, error) {
-	defer a.Rest.Close()
 	if err != nil {
 		return passed, err
 	}
@@ -99,7 +122,7 @@
 	switch kind {
 	case fault.Timeout, fault.Canceled:
 		return http.StatusGatewayTimeout
-	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch:
+	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch, fault.AnswerTooLarge:
 		if q.ctx != nil && q.ctx.Err() != nil {
 			return http.StatusGatewayTimeout
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -46,6 +46,7 @@
 		}
 		a, err := g.queueAndSend(q, s)
 		if err == nil {
+			q.dropFailure()
 			return a, nil
 		}
 		if !g.retry(q, s, err) {
@@ -54,6 +55,14 @@
 	}
 }
 
+// dropFailure closes the error response of an earlier attempt, if there is one.
+func (q *request) dropFailure() {
+	if q.failure != nil {
+		q.failure.Close()
+		q.failure = nil
+	}
+}
+
 // giveUp returns the error response of an earlier attempt if there is one, else err.
 func (q *request) giveUp(err error) (*upstream.Response, error) {
 	if q.failure != nil {
@@ -214,6 +223,7 @@
 		Rest:     q.rest,
 		Length:   q.length,
 		Once:     q.atMostOnce(),
+		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
 }
@@ -222,19 +232,20 @@
 // error whose kind says whether the request may have run.
 func (g *Gateway) classify(q *request, a *upstream.Response) error {
 	if a.Status == http.StatusMisdirectedRequest {
-		discard(a)
+		a.Close()
 		return fault.New(fault.StaleToken, "the server does not own the key, or another server answers at its address")
 	}
 	if a.Header.Get(g.cfg.Headers.NotRun) != "" {
-		discard(a)
+		a.Close()
 		return fault.Newf(fault.NotAccepted, "the server did not run the request (status %d)", a.Status)
 	}
 	q.mayHaveRun = true
 	if a.Status < http.StatusMultipleChoices && a.Header.Get(g.cfg.Headers.Signature) == "" {
-		discard(a)
+		a.Close()
 		return fault.New(fault.AnswerMismatch, "the response has no signature of a backend server")
 	}
 	if a.Status >= http.StatusInternalServerError && q.retriable() && a.Rest == nil {
+		q.dropFailure()
 		q.failure = a
 		return fault.Newf(fault.AnswerCut, "the server answered with status %d", a.Status)
 	}
@@ -248,12 +259,6 @@
 	return !q.atMostOnce() && q.rest == nil && q.sends < 2 && q.remaining() > q.target()/2
 }
 
-func discard(a *upstream.Response) {
-	if a.Rest != nil {
-		_ = a.Rest.Close() // the response is not used
-	}
-}
-
 func notRun(k fault.Kind, detail string, retry time.Duration) error {
 	e := fault.New(k, detail)
 	e.RetryAfter = retry
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,19 @@
 	Headers Headers
 	Budget  BudgetRule
 	Dial    upstream.Dialer // opens connections to backend servers; nil means plain TCP
+	// BufferBytes bounds the response bodies that are buffered at the same time; 0
+	// means defaultBufferBytes.
+	BufferBytes int64
+}
+
+// defaultBufferBytes applies if the host's memory is unknown.
+const defaultBufferBytes = 16 << 20
+
+func (c Config) bufferBytes() int64 {
+	if c.BufferBytes <= 0 {
+		return defaultBufferBytes
+	}
+	return c.BufferBytes
 }
 
 // Gateway is an http.Handler for callers' requests.
@@ -69,7 +82,7 @@
 		cfg:     cfg,
 		control: control,
 		logger:  logger.Named("gateway"),
-		servers: newServers(cfg.Dial),
+		servers: newServers(cfg.Dial, upstream.NewBuffers(cfg.bufferBytes())),
 		split:   newSplitter(),
 		Metrics: newMetrics(),
 		budgets: map[string]*budget{},
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -48,7 +48,7 @@
 		return g.checkRetryStale(q, s)
 	case fault.NotAccepted:
 		return g.checkRetryShed(q, s)
-	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch:
+	case fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch, fault.AnswerTooLarge:
 		if q.atMostOnce() {
 			return event.ReasonMayHaveRun
 		}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -83,13 +83,14 @@
 // servers holds the known backend servers by holder: a server that was restarted
 // is a new holder and has new state.
 type servers struct {
-	dial upstream.Dialer
-	mu   sync.Mutex
-	all  map[keyrange.Holder]*server
+	dial    upstream.Dialer
+	buffers *upstream.Buffers
+	mu      sync.Mutex
+	all     map[keyrange.Holder]*server
 }
 
-func newServers(dial upstream.Dialer) *servers {
-	return &servers{dial: dial, all: map[keyrange.Holder]*server{}}
+func newServers(dial upstream.Dialer, buffers *upstream.Buffers) *servers {
+	return &servers{dial: dial, buffers: buffers, all: map[keyrange.Holder]*server{}}
 }
 
 // get returns the state of a server of the directory, and creates it if needed.
@@ -98,7 +99,7 @@
 	defer s.mu.Unlock()
 	known := s.all[v.Holder]
 	if known == nil || known.Address != v.Address {
-		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial), limiter: newLimiter(limit), averageLatency: initialLatency}
+		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial, s.buffers), limiter: newLimiter(limit), averageLatency: initialLatency}
 		s.all[v.Holder] = known
 	}
 	known.conns.SetLimit(limit + spareConnections)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -27,13 +27,16 @@
 // conn is one connection to a backend server.
 type conn struct {
 	raw      net.Conn
-	reader   *bufio.Reader
-	lastUsed time.Time // time of the last response, or of the dial
-	expires  time.Time // when the server may close it; zero if unknown
+	source   *limitedReader
+	reader   *bufio.Reader // reads from source
+	reused   bool          // an earlier request was answered on it
+	lastUsed time.Time     // time of the last response, or of the dial
+	expires  time.Time     // when the server may close it; zero if unknown
 }
 
 func newConn(raw net.Conn, now time.Time) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), lastUsed: now}
+	source := &limitedReader{raw: raw}
+	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, readBuffer), lastUsed: now}
 }
 
 // reusable reports whether an idle connection is open and has no bytes to read.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,24 +6,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
-const (
-	// maxStrayResponses is the number of responses to other requests that are
-	// skipped on a connection before it is given up.
-	maxStrayResponses = 3
-	// maxBuffered is the number of bytes of a response body that are read before
-	// the response is returned. A shorter response is known to be complete.
-	maxBuffered = 1 << 20
-	// concurrentWriteSize is the body size from which the body is written while the
-	// response is read, as a server may answer before it has read the whole body.
-	concurrentWriteSize = 8 << 10
-)
+// concurrentWriteSize is the body size from which the body is written while the
+// response is read, as a server may answer before it has read the whole body.
+const concurrentWriteSize = 8 << 10
 
 // Field is one header line.
 type Field struct{ Name, Value string }
@@ -42,32 +34,38 @@
 	Rest     io.Reader // follows Body; nil if Body is complete
 	Length   int64     // of Body and Rest together; -1 means chunked
 	Once     bool      // may run at most once
+	// Attempts is shared by all requests that are sent with the same ID.
+	Attempts *Attempts
 	Deadline time.Time
 }
 
-// Response is a backend server's response.
-type Response struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// Rest follows Body if the response exceeds the buffer, else it is nil. It
-	// must be closed.
-	Rest   io.ReadCloser
-	Length int64 // length of the complete body, -1 if unknown
+// Attempts records the connections on which a request was sent. A retry with the same
+// ID is sent on another connection: there a second copy of the response to an earlier
+// attempt cannot be taken for its own.
+type Attempts struct{ conns []*conn }
+
+func (a *Attempts) used(c *conn) bool { return a != nil && slices.Contains(a.conns, c) }
+
+func (a *Attempts) add(c *conn) {
+	if a != nil {
+		a.conns = append(a.conns, c)
+	}
 }
 
 // Do sends req once and returns the response. Errors of kind Refused, DialFailed,
 // Overloaded and NotSent mean that no byte was sent; SendFailed, AnswerCut,
-// AnswerMismatch, Timeout and Canceled mean that the request may have run.
+// AnswerMismatch, AnswerTooLarge, Timeout and Canceled mean that the request may have
+// run.
 func (s *Server) Do(ctx context.Context, req *Request) (*Response, error) {
 	now := time.Now()
-	c := s.takeIdle(now, req.Once)
+	c := s.takeIdle(now, req)
 	if c == nil {
 		var err error
 		if c, err = s.dial(ctx); err != nil {
 			return nil, s.notSentError(ctx, err)
 		}
 	}
+	req.Attempts.add(c)
 	x := &exchange{server: s, conn: c, req: req, ctx: ctx}
 	return x.run()
 }
@@ -219,77 +217,6 @@
 	return append(append(b, value...), '\r', '\n')
 }
 
-// read returns the response that matches the request. It skips up to
-// maxStrayResponses others.
-func (x *exchange) read() (*Response, error) {
-	probe := &http.Request{Method: x.req.Method}
-	for stray := 0; ; {
-		resp, err := http.ReadResponse(x.conn.reader, probe)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an informational response
-		}
-		if x.matches(resp) {
-			return x.readBody(resp)
-		}
-		if stray++; stray > maxStrayResponses {
-			return nil, fault.New(fault.AnswerMismatch, "the connection carries responses to other requests")
-		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-	}
-}
-
-// matches reports whether a response may belong to the request. An error response
-// without an id may, since the server may have failed before it read the id.
-func (x *exchange) matches(resp *http.Response) bool {
-	id := resp.Header.Get(x.req.IDHeader)
-	if id == "" {
-		return resp.StatusCode >= http.StatusBadRequest
-	}
-	return id == x.req.ID
-}
-
-// readBody reads the response body. It returns the connection to the idle connections
-// when the body is complete.
-func (x *exchange) readBody(resp *http.Response) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	var err error
-	if n := resp.ContentLength; n >= 0 && n <= maxBuffered {
-		out.Body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, out.Body)
-	} else {
-		out.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
-	}
-	if err != nil {
-		return nil, err
-	}
-	if len(out.Body) < maxBuffered {
-		out.Length = int64(len(out.Body))
-		x.finish(resp)
-		return out, nil
-	}
-	out.Rest = &streamedBody{exchange: x, resp: resp}
-	return out, nil
-}
-
-// finish ends the exchange after a complete response.
-func (x *exchange) finish(resp *http.Response) {
-	x.stop()
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || !x.bodyWritten() || x.ctx.Err() != nil {
-		x.server.discard(x.conn)
-		return
-	}
-	c := x.conn
-	c.lastUsed = time.Now()
-	c.expires = keepAliveExpiry(c.lastUsed, resp.Header.Get("Keep-Alive"))
-	_ = c.raw.SetDeadline(time.Time{}) // a closed connection is detected at its next use
-	x.server.putIdle(c)
-}
-
 // bodyWritten reports whether the whole request body was sent. If a server answered
 // earlier, it would take the next request's bytes for the rest of the body.
 func (x *exchange) bodyWritten() bool {
@@ -303,44 +230,3 @@
 		return false
 	}
 }
-
-// keepAliveExpiry returns until when a connection can be reused according to a
-// Keep-Alive header, or the zero time if the header has no timeout.
-func keepAliveExpiry(now time.Time, header string) time.Time {
-	for part := range strings.SplitSeq(header, ",") {
-		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil {
-			return now.Add(max(time.Duration(n)*time.Second-keepAliveMargin, 0))
-		}
-	}
-	return time.Time{}
-}
-
-// streamedBody reads the unbuffered part of a long response body.
-type streamedBody struct {
-	exchange *exchange
-	resp     *http.Response
-	complete bool
-}
-
-// Read implements io.Reader.
-func (r *streamedBody) Read(p []byte) (int, error) {
-	n, err := r.resp.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (r *streamedBody) Close() error {
-	if r.complete {
-		r.exchange.finish(r.resp)
-		return nil
-	}
-	_ = r.exchange.fail(nil)
-	return nil
-}
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 type Server struct {
 	Address string
 	dialer  Dialer
+	buffers *Buffers
 
 	mu    sync.Mutex
 	idle  []*conn // in order of last use, the most recent last
@@ -35,12 +37,13 @@
 	limit int     // maximum of open
 }
 
-// NewServer returns an empty connection pool. A nil dialer means plain TCP.
-func NewServer(address string, limit int, d Dialer) *Server {
+// NewServer returns an empty connection pool. Its responses share buffers with those
+// of other servers. A nil dialer means plain TCP.
+func NewServer(address string, limit int, d Dialer, buffers *Buffers) *Server {
 	if d == nil {
 		d = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Server{Address: address, dialer: d, limit: max(limit, 1)}
+	return &Server{Address: address, dialer: d, buffers: buffers, limit: max(limit, 1)}
 }
 
 // SetLimit sets the number of connections that this host may open.
@@ -62,16 +65,16 @@
 	}
 }
 
-// takeIdle returns an idle connection that can be reused, or nil. With once set,
-// the connection has been idle for at most onceIdleLimit.
-func (s *Server) takeIdle(now time.Time, once bool) *conn {
+// takeIdle returns an idle connection on which req may be sent, or nil. For a request
+// that may run only once, it has been idle for at most onceIdleLimit.
+func (s *Server) takeIdle(now time.Time, req *Request) *conn {
 	for {
-		c := s.popIdle()
+		c := s.popIdle(req.Attempts)
 		if c == nil {
 			return nil
 		}
 		age := now.Sub(c.lastUsed)
-		stale := age > idleLimit || !c.expires.IsZero() && now.After(c.expires) || once && age > onceIdleLimit
+		stale := age > idleLimit || !c.expires.IsZero() && now.After(c.expires) || req.Once && age > onceIdleLimit
 		if !stale && c.reusable() {
 			return c
 		}
@@ -79,16 +82,20 @@
 	}
 }
 
-func (s *Server) popIdle() *conn {
+// popIdle returns the idle connection that was used last, except those on which the
+// request was sent before.
+func (s *Server) popIdle(before *Attempts) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := len(s.idle)
-	if n == 0 {
-		return nil
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if before.used(c) {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		return c
 	}
-	c := s.idle[n-1]
-	s.idle = s.idle[:n-1]
-	return c
+	return nil
 }
 
 // dial opens a connection. Errors are of kind Refused, DialFailed or Overloaded;
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// testBufferBytes is room for several long bodies.
+const testBufferBytes = 8 << 20
+
 func request(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, URI: "/x?y=1", Host: "shop.example", Header: http.Header{"A": {"1", "2"}},
@@ -85,7 +88,7 @@
 func withScript(t *testing.T, answers []string, f func(t *testing.T, s *Server, sc *scriptedServer)) {
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedServer{answers: answers}
-		s := NewServer("x", 4, sc.dial)
+		s := NewServer("x", 4, sc.dial, NewBuffers(testBufferBytes))
 		defer s.Close()
 		f(t, s, sc)
 	})
@@ -169,7 +172,7 @@
 				} else {
 					require.Error(t, err)
 				}
-				require.NoError(t, a.Rest.Close())
+				a.Close()
 			})
 		})
 	}
@@ -235,7 +238,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := NewServer("x", 1, c.dial)
+			s := NewServer("x", 1, c.dial, NewBuffers(testBufferBytes))
 			_, err := s.Do(t.Context(), request("a"))
 			require.Equal(t, c.kind, fault.KindOf(err))
 			require.Zero(t, s.open)
@@ -262,7 +265,7 @@
 		return near, nil
 	}
 	synctest.Test(t, func(t *testing.T) {
-		s := NewServer("x", 4, silent)
+		s := NewServer("x", 4, silent, NewBuffers(testBufferBytes))
 		start := time.Now()
 		_, err := s.Do(t.Context(), request("a"))
 		require.Equal(t, fault.Timeout, fault.KindOf(err))
@@ -294,15 +297,13 @@
 			_, _ = far.Write(text) // the client may have closed the connection
 			_ = far.Close()
 		}()
-		s := NewServer("x", 1, func(context.Context, string, string) (net.Conn, error) { return near, nil })
+		s := NewServer("x", 1, func(context.Context, string, string) (net.Conn, error) { return near, nil }, NewBuffers(testBufferBytes))
 		defer s.Close()
 		a, err := s.Do(t.Context(), request("a"))
 		if err != nil {
 			return
 		}
-		if a.Rest != nil {
-			defer a.Rest.Close()
-		}
+		defer a.Close()
 		id := a.Header.Get("X-Id")
 		require.True(t, id == "a" || id == "" && a.Status >= http.StatusBadRequest, "status %d, id %q", a.Status, id)
 		if n := a.Length; n >= 0 && a.Rest == nil {
