hostlink, cluster: a bad message ends only itself, relays are verified, a server that left stays away

Cause: messages between hosts were decoded and used as they came: a negative wait, an unsorted directory or map, a report that names services that do not exist (256 KiB of counters each) went to the control goroutine, where a panic ended the process. Any program that connected could have a host grant or release keys. A directory from a host that had read the store earlier replaced a newer one: after a takeover in an outage, or when a peer that had missed a removal answered a restarted host late, a server that had left was used again.

Change: each message is checked when it is decoded (typed error, one line, a counter); requests are bounded to 1 MiB, responses to 8 MiB; a panic in a handler or while a message is applied ends that message. A relay needs the newest epoch, its assigner, and a server that is or was at the address. A directory from elsewhere does not undo newer entries or removals.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -18,6 +18,7 @@
 package assigner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -235,9 +236,11 @@
 	}
 }
 
-// AddReport processes a report from the host named from.
+// AddReport processes a report from the host named from. What it says of services and
+// servers that are not known here is ignored, so that reports cannot make the state
+// grow.
 func (m *Machine) AddReport(now Time, from string, r Report) {
-	m.load.add(now, r)
+	m.load.add(now, m.knownPart(r))
 	m.suspects.recordReport(now, from)
 	if from != m.cfg.Self.Name {
 		m.otherReportAt = now
@@ -250,10 +253,18 @@
 	}
 }
 
+// knownPart returns the part of a report that concerns sharded services and registered
+// servers.
+func (m *Machine) knownPart(r Report) Report {
+	r.Keys = slices.DeleteFunc(slices.Clone(r.Keys), func(k KeyLoad) bool { return !slices.Contains(m.sharded, k.Service) })
+	r.Latencies = slices.DeleteFunc(slices.Clone(r.Latencies), func(t ServerLatency) bool { return m.servers.Find(t.ID) == nil })
+	return r
+}
+
 // recordRefusal records that a host found no process listening at a server's address.
 // The server is unreachable once every host with a recent report agrees.
 func (m *Machine) recordRefusal(now Time, from string, h keyrange.Holder) {
-	if h.ID == "" || m.suspects.unreachable(now, h) {
+	if m.address(h) == "" || m.suspects.unreachable(now, h) {
 		return
 	}
 	m.probeUrgent = m.probeUrgent || m.suspects.suspicions[h] == nil
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -47,8 +47,11 @@
 }
 
 func (c *Cluster) respond(ctx context.Context, q *hostlink.SyncRequest) (response, error) {
-	a, ok := query(ctx, c, func() *hostlink.SyncResponse { return c.buildResponse(q) })
-	if !ok {
+	a, ok := query(ctx, c, func() (a *hostlink.SyncResponse) {
+		c.contain("a sync request", func() { a = c.buildResponse(q) })
+		return a
+	})
+	if !ok || a == nil {
 		return response{}, fault.New(fault.PeerUnavailable, "sync request ended before it was answered")
 	}
 	return response{a}, nil
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -94,6 +94,8 @@
 // result says whether any of the attempts may have reached the server.
 func (c *Cluster) relay(call hostlink.RelayRequest, direct assigner.CallResult, until time.Duration) (assigner.CallResult, string) {
 	result := direct
+	call.From = c.cfg.Self
+	call.Epoch, _ = query(c.ctx, c, c.machine.Epoch)
 	for _, h := range c.randomHosts(maxRelays) {
 		left := until - c.cfg.Clock()
 		if left <= 0 {
@@ -121,7 +123,7 @@
 }
 
 func (c *Cluster) relayThrough(h assigner.Host, call hostlink.RelayRequest, limit time.Duration) (*hostlink.RelayResponse, error) {
-	call.LimitMS = limit.Milliseconds()
+	call.LimitMS = max(limit.Milliseconds(), 1)
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
 	return c.peers.Relay(ctx, h.Peer, &call)
@@ -146,6 +148,46 @@
 
 // Relay implements hostlink.Handler.
 func (c *Cluster) Relay(ctx context.Context, call *hostlink.RelayRequest) (*hostlink.RelayResponse, error) {
+	err, ok := query(ctx, c, func() error { return c.verifyRelay(call) })
+	if !ok {
+		return nil, fault.New(fault.PeerUnavailable, "relay ended before it was verified")
+	}
+	if err != nil {
+		c.logEvent(event.RelayRejected{From: call.From.Name, Epoch: call.Epoch, Address: call.Address, Error: err.Error()})
+		return &hostlink.RelayResponse{Result: assigner.CallUnsent}, nil
+	}
+	return c.makeRelayedCall(ctx, call), nil
+}
+
+// verifyRelay checks what this host knows about a call to relay: that the epoch is not
+// an earlier one, that the caller is a registered host and, in the epoch known here,
+// its assigner, and that a backend server was registered at the address. Errors are
+// of kind PermissionDenied.
+func (c *Cluster) verifyRelay(call *hostlink.RelayRequest) error {
+	epoch, leader := c.machine.Epoch(), c.machine.Assigner()
+	switch {
+	case call.Epoch < epoch:
+		return fault.Newf(fault.PermissionDenied, "epoch %d has ended", call.Epoch)
+	case call.Epoch == epoch && leader.Name != "" && leader != call.From:
+		return fault.Newf(fault.PermissionDenied, "the assigner of the epoch is %s", leader.Name)
+	case c.hosts[call.From.Name].Host != call.From:
+		return fault.New(fault.PermissionDenied, "the host is not registered")
+	case !call.Release && !c.serves(call.Range.Owner, call.Address):
+		return fault.New(fault.PermissionDenied, "the backend server is not registered at the address")
+	case call.Release && !c.View().Servers.HasAddress(call.Address):
+		return fault.New(fault.PermissionDenied, "no backend server was registered at the address")
+	}
+	return nil
+}
+
+// serves reports whether a backend server is registered at an address.
+func (c *Cluster) serves(h keyrange.Holder, addr string) bool {
+	v := c.View().Servers.Find(h.ID)
+	return v != nil && v.Holder == h && v.Address == addr
+}
+
+// makeRelayedCall makes a call for the assigner.
+func (c *Cluster) makeRelayedCall(ctx context.Context, call *hostlink.RelayRequest) *hostlink.RelayResponse {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.LimitMS)*time.Millisecond)
 	defer cancel()
 	out := &hostlink.RelayResponse{}
@@ -159,7 +201,7 @@
 	if err != nil {
 		c.logEvent(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
 	}
-	return out, nil
+	return out
 }
 
 // requestProbes starts a probe round: every host, this one included, probes the
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -200,13 +200,16 @@
 }
 
 // query runs f in the control goroutine and returns its result. ok is false if the
-// cluster stopped or ctx ended first.
+// cluster stopped, ctx ended first or f panicked.
 func query[T any](ctx context.Context, c *Cluster, f func() T) (found T, ok bool) {
 	got := make(chan T, 1)
-	c.post(func() { got <- f() })
+	c.post(func() {
+		defer close(got) // f may panic
+		got <- f()
+	})
 	select {
-	case found = <-got:
-		return found, true
+	case found, ok = <-got:
+		return found, ok
 	case <-ctx.Done():
 	case <-c.ctx.Done():
 	}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
@@ -162,10 +163,13 @@
 	defer cancel()
 	a, err := c.peers.Sync(ctx, q.to.Peer, &q.body)
 	if err != nil {
+		if fault.KindOf(err) == fault.BadMessage {
+			c.RecordBadMessage(err)
+		}
 		c.post(func() { c.recordAssignerSilent(q, err) })
 		return false
 	}
-	c.post(func() { c.applyResponse(a) })
+	c.post(func() { c.contain("a sync response", func() { c.applyResponse(a) }) })
 	return a.Leads
 }
 
--- a/cluster/stats.go
+++ b/cluster/stats.go
@@ -16,6 +16,10 @@
 	Epochs     metrics.Counter
 	MapChanges metrics.Counter
 	Moves      metrics.Counter
+	// BadMessages counts the messages of other hosts that were rejected, Panics those
+	// whose handling panicked.
+	BadMessages metrics.Counter
+	Panics      metrics.Counter
 	// StoreResults counts the calls to the store by result.
 	StoreResults metrics.Registry
 }
@@ -30,6 +34,8 @@
 		Epochs:       metrics.NewCounter(),
 		MapChanges:   metrics.NewCounter(),
 		Moves:        metrics.NewCounter(),
+		BadMessages:  metrics.NewCounter(),
+		Panics:       metrics.NewCounter(),
 		StoreResults: metrics.NewRegistry(),
 	}
 }
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -44,13 +44,15 @@
 	c.logEvent(e)
 }
 
-// applyServers publishes a directory if its version differs from the published one.
+// applyServers publishes a directory if its version differs from the published one. What
+// this host knows to be outdated in it is left out.
 func (c *Cluster) applyServers(s *directory.Snapshot) {
 	if old := c.View().Servers; old.Version != s.Version {
+		s = s.After(old)
 		c.logServers(old, s)
 		c.views.update(func(v *View) { v.Servers = s })
 	}
-	c.updateMachineServers(s)
+	c.updateMachineServers(c.View().Servers)
 }
 
 func (c *Cluster) updateMachineServers(s *directory.Snapshot) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -146,6 +147,53 @@
 	return &s.Servers[i]
 }
 
+// After returns s as the successor of old, the directory known so far. Another host may
+// have read the store earlier than this one: where old has a newer entry of a server,
+// or knows that it was removed, that is kept, so that a server that has left does not
+// come back.
+func (s *Snapshot) After(old *Snapshot) *Snapshot {
+	if old == nil || old.Next <= s.Next && len(old.removed) == 0 {
+		return s
+	}
+	b := newBuilder(s)
+	for _, gone := range old.removed {
+		b.keepRemoved(gone)
+	}
+	if old.Next > s.Next {
+		for _, v := range old.Servers {
+			b.keepNewer(v)
+		}
+	}
+	out := *s
+	out.Next = max(s.Next, old.Next)
+	out.Servers, out.removed = b.result()
+	return &out
+}
+
+// keepRemoved removes a server unless it is listed with a newer entry than its last.
+func (b *builder) keepRemoved(gone Server) {
+	if v, ok := b.servers[gone.Holder.ID]; ok {
+		if gone.olderThan(v) {
+			return
+		}
+		delete(b.servers, gone.Holder.ID)
+	}
+	b.removed[gone.Holder.ID] = gone
+}
+
+// keepNewer replaces a listed entry by a newer one of the same server.
+func (b *builder) keepNewer(v Server) {
+	if listed, ok := b.servers[v.Holder.ID]; ok && listed.olderThan(v) {
+		b.servers[v.Holder.ID] = v
+	}
+}
+
+// HasAddress reports whether a server is or recently was registered at an address.
+func (s *Snapshot) HasAddress(addr string) bool {
+	at := func(v Server) bool { return v.Address == addr }
+	return slices.ContainsFunc(s.Servers, at) || slices.ContainsFunc(s.removed, at)
+}
+
 // Fold returns the snapshot after the changes up to the offset next.
 func (s *Snapshot) Fold(changes []Change, next uint64) *Snapshot {
 	if next <= s.Next && len(changes) == 0 {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -146,3 +146,31 @@
 	require.Equal(t, Draining, follow.Find("b").State)
 	require.Equal(t, uint64(9), lead.Next)
 }
+
+// A directory that was read earlier does not undo what is known already.
+func TestAfterKeepsWhatIsKnown(t *testing.T) {
+	at := func(next uint64, changes ...Change) *Snapshot { return (&Snapshot{}).Fold(changes, next) }
+	cases := []struct {
+		name      string
+		old, next *Snapshot
+		want      map[string]State
+	}{
+		{"a later directory", at(1, entry("a", 1, 1, Ready)), at(2, entry("a", 1, 2, Draining)), map[string]State{"a": Draining}},
+		{"an earlier one, from before the removal", at(5, entry("a", 1, 4, Ready), removal("a")), at(3, entry("a", 1, 3, Ready)), map[string]State{}},
+		{"an earlier one, from before draining", at(5, entry("a", 1, 4, Draining)), at(3, entry("a", 1, 3, Ready)), map[string]State{"a": Draining}},
+		{"a later one without news of the removed", at(5, entry("a", 1, 4, Ready), removal("a")), at(6, entry("a", 1, 4, Ready)), map[string]State{}},
+		{"a server that came back", at(5, entry("a", 1, 4, Ready), removal("a")), at(6, entry("a", 1, 5, Ready)), map[string]State{"a": Ready}},
+		{"a server that was restarted", at(5, entry("a", 1, 4, Ready), removal("a")), at(6, entry("a", 2, 1, Ready)), map[string]State{"a": Ready}},
+		{"a server that is new", at(5, entry("a", 1, 4, Ready)), at(6, entry("b", 1, 1, Ready)), map[string]State{"b": Ready}},
+		{"nothing known", nil, at(6, entry("b", 1, 1, Ready)), map[string]State{"b": Ready}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := map[string]State{}
+			for _, v := range c.next.After(c.old).Servers {
+				got[v.Holder.ID] = v.State
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -136,7 +136,7 @@
 	}
 	h.cluster.Start()
 	h.runInBackground(func() {
-		h.runServer("serve other hosts", func() error { return hostlink.Serve(ctx, peers, h.cluster) })
+		h.runServer("serve other hosts", func() error { return hostlink.Serve(ctx, peers, h.cluster, h.cluster.RecordBadMessage) })
 	})
 	h.runInBackground(func() { h.serveTraffic(ctx, traffic) })
 	if err := h.serve(h.ready, h.opts.Readiness); err != nil {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -41,6 +41,8 @@
 		{"grants_failed", s.GrantFails.Count()},
 		{"releases", s.Releases.Count()},
 		{"role_changes", s.Epochs.Count()},
+		{"messages_rejected", s.BadMessages.Count()},
+		{"message_panics", s.Panics.Count()},
 		{"map_changes", s.MapChanges.Count()},
 		{"backend_servers", int64(len(v.Servers.Servers))},
 		{"entry_hosts", int64(v.Hosts)},
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -69,6 +69,40 @@
 	return fmt.Sprintf("call to %s relayed for the assigner: %s", e.Address, e.Result)
 }
 
+// RelayRejected records that this host did not make a call that another host asked it to
+// relay, because it could not verify the request.
+type RelayRejected struct {
+	From    string `json:"from"`
+	Epoch   uint64 `json:"epoch"`
+	Address string `json:"address"` // of the backend server
+	Error   string `json:"error"`
+}
+
+// Text implements Event.
+func (e RelayRejected) Text() string {
+	return fmt.Sprintf("did not relay a call of %s (epoch %d) to %s: %s", e.From, e.Epoch, e.Address, e.Error)
+}
+
+// MessageRejected records a message from another host that is invalid.
+type MessageRejected struct {
+	Error string `json:"error"`
+}
+
+// Text implements Event.
+func (e MessageRejected) Text() string { return "rejected a message from another host: " + e.Error }
+
+// PanicContained records a panic that was limited to the message that caused it.
+type PanicContained struct {
+	Message string `json:"message"` // what was handled
+	Value   string `json:"value"`   // of the panic
+	Stack   string `json:"stack"`
+}
+
+// Text implements Event.
+func (e PanicContained) Text() string {
+	return fmt.Sprintf("an internal error while handling %s: %s", e.Message, e.Value)
+}
+
 // ResignBegun records that the assigner resigns because of a planned stop.
 type ResignBegun struct {
 	Epoch uint64 `json:"epoch"`
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -12,8 +12,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -74,6 +76,8 @@
 // RelayRequest asks another host to make a grant or release, because the assigner
 // cannot reach the server.
 type RelayRequest struct {
+	From     assigner.Host  `json:"from"`  // the assigner
+	Epoch    uint64         `json:"epoch"` // the epoch under which it acts
 	Address  string         `json:"address"`
 	Range    keyrange.Range `json:"range"`
 	Release  bool           `json:"release"`
@@ -94,45 +98,81 @@
 	Relay(ctx context.Context, c *RelayRequest) (*RelayResponse, error)
 }
 
-// codec encodes messages as JSON.
-type codec struct{}
+// codec encodes messages as JSON and checks the decoded ones. If report is set, it is
+// called with each message that is invalid.
+type codec struct{ report func(error) }
 
 // Marshal implements drpc.Encoding.
 func (codec) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
 
 // Unmarshal implements drpc.Encoding.
-func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return json.Unmarshal(buf, msg) }
+func (c codec) Unmarshal(buf []byte, msg drpc.Message) error {
+	err := decode(buf, msg)
+	if err != nil && c.report != nil {
+		c.report(err)
+	}
+	return err
+}
+
+// decode decodes and checks a message. Errors are of kind BadMessage.
+func decode(buf []byte, msg drpc.Message) error {
+	if err := json.Unmarshal(buf, msg); err != nil {
+		return fault.Wrap(fault.BadMessage, err, "decode a message of another host")
+	}
+	if m, ok := msg.(message); ok {
+		return m.validate()
+	}
+	return nil
+}
 
 // description registers Handler with a drpc mux.
-type description struct{}
+type description struct{ report func(error) }
 
 // NumMethods implements drpc.Description.
 func (description) NumMethods() int { return 2 }
 
 // Method implements drpc.Description.
-func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
 	case 0:
-		receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+		receive := func(srv any, ctx context.Context, in1, _ any) (out drpc.Message, err error) {
+			defer d.contain(&err)
 			return srv.(Handler).Sync(ctx, in1.(*SyncRequest))
 		}
-		return syncMethod, codec{}, receive, Handler.Sync, true
+		return syncMethod, codec(d), receive, Handler.Sync, true
 	case 1:
-		receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+		receive := func(srv any, ctx context.Context, in1, _ any) (out drpc.Message, err error) {
+			defer d.contain(&err)
 			return srv.(Handler).Relay(ctx, in1.(*RelayRequest))
 		}
-		return relayMethod, codec{}, receive, Handler.Relay, true
+		return relayMethod, codec(d), receive, Handler.Relay, true
 	}
 	return "", nil, nil, nil, false
 }
 
-// Serve answers requests on a listener until ctx ends.
-func Serve(ctx context.Context, lis net.Listener, h Handler) error {
+// contain turns a handler's panic into the error of its message, so that one message
+// does not end the process.
+func (d description) contain(err *error) {
+	if v := recover(); v != nil {
+		*err = fault.Newf(fault.Internal, "panic while a message was handled: %v", v)
+		d.report(*err)
+	}
+}
+
+// Serve answers requests on a listener until ctx ends. It calls report with each
+// message that is invalid or whose handler panicked.
+func Serve(ctx context.Context, lis net.Listener, h Handler, report func(error)) error {
 	mux := drpcmux.New()
-	if err := mux.Register(h, description{}); err != nil {
+	if err := mux.Register(h, description{report}); err != nil {
 		return fault.Wrap(fault.Internal, err, "register the host link")
 	}
-	return drpcserver.New(mux).Serve(ctx, lis)
+	options := drpcserver.Options{Manager: managerOptions(maxRequestBytes)}
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, lis)
+}
+
+// managerOptions bounds the size of a received message.
+func managerOptions(bytes int) drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: bytes}}
 }
 
 // maxIdleConns bounds the idle connections to one host.
@@ -208,7 +248,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(raw), nil
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(maxResponseBytes)}), nil
 }
 
 func (p *Pool) popIdle(addr string) *drpcconn.Conn {
--- a/hostlink/map.go
+++ b/hostlink/map.go
@@ -50,7 +50,8 @@
 	return 0
 }
 
-// Unpack returns the full map, or nil if the message is invalid.
+// Unpack returns the full map, or nil if the message is invalid: ranges must be in order
+// and disjoint, since lookups rely on it.
 func (m *Map) Unpack() *keyrange.Map {
 	out := &keyrange.Map{Version: m.Version, Base: m.Base}
 	for _, t := range m.Tables {
@@ -58,11 +59,13 @@
 			return nil
 		}
 		table := keyrange.Table{Service: t.Service}
+		next := uint32(0) // first key that the next range may contain
 		for i := 0; i < len(t.Ranges); i += numbersPerRange {
 			from, to, owner := t.Ranges[i], t.Ranges[i+1], t.Ranges[i+2]
-			if from > to || to > uint32(keyrange.MaxKey) || int(owner>>1) >= len(m.Owners) {
+			if from < next || from > to || to > uint32(keyrange.MaxKey) || int(owner>>1) >= len(m.Owners) {
 				return nil
 			}
+			next = to + 1
 			table.Ranges = append(table.Ranges, keyrange.Range{
 				From: keyrange.Key(from), To: keyrange.Key(to), Owner: m.Owners[owner>>1], Granted: owner&1 == 1,
 			})
--- a/hostlink/map_test.go
+++ b/hostlink/map_test.go
@@ -23,7 +23,7 @@
 }
 
 func TestInvalidMapsAreRefused(t *testing.T) {
-	for _, ranges := range [][]uint32{{1, 2}, {5, 4, 0}, {0, 70000, 0}, {0, 1, 2}} {
+	for _, ranges := range [][]uint32{{1, 2}, {5, 4, 0}, {0, 70000, 0}, {0, 1, 2}, {5, 9, 0, 1, 2, 0}, {0, 5, 0, 5, 9, 0}} {
 		m := &Map{Owners: []keyrange.Holder{{ID: "a"}}, Tables: []MapTable{{Service: "s", Ranges: ranges}}}
 		require.Nil(t, m.Unpack(), "%v", ranges)
 	}
