routing: an attempt that may have run is remembered; tests of fault points in virtual time

Cause: dispatch returned the last attempt's error, so a lookup that had run and whose retry was not sent was answered 'not run'; hedged attempts likewise. The rows of the fault points and the simultaneous duplicates waited on real connections with real deadlines, which a busy machine misses.

Change: once an attempt may have run, its error is the request's. The two tests run on an in-memory network in virtual time, with the same bounds and checks.

Failed first: TestRetryDoesNotHideAnAttemptThatRan, all eight rows.

--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -7,69 +7,14 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
-
-// pipeListener accepts in-memory connections that the test opens.
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { close(l.done); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l *pipeListener) dial() net.Conn {
-	near, far := net.Pipe()
-	reset := &atomic.Bool{}
-	l.conns <- &lingerConn{far, reset}
-	return &resetConn{near, reset}
-}
 
-// lingerConn is the gateway's end of an in-memory connection that can be reset.
-type lingerConn struct {
-	net.Conn
-	reset *atomic.Bool
-}
-
-// SetLinger makes Close reset the connection if sec is 0.
-func (c *lingerConn) SetLinger(sec int) error {
-	c.reset.Store(sec == 0)
-	return nil
-}
-
-// resetConn is the caller's end. It fails where the gateway reset the connection.
-type resetConn struct {
-	net.Conn
-	reset *atomic.Bool
-}
-
-func (c *resetConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err == io.EOF && c.reset.Load() {
-		return n, syscall.ECONNRESET
-	}
-	return n, err
-}
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
+)
 
 // callerResponse is what a caller read from its connection.
 type callerResponse struct {
@@ -81,13 +26,15 @@
 // callOverHTTP sends one request to the gateway over a connection of its own and reads
 // the response as a caller of that protocol version would.
 func callOverHTTP(t *testing.T, b *testGateway, path, version string) callerResponse {
-	lis := newPipeListener()
+	network := pipenet.New()
+	lis := network.Listen()
 	server := &http.Server{Handler: b.gateway}
 	go func() { _ = server.Serve(lis) }() // returns when the listener is closed
 	defer server.Close()
-	conn := lis.dial()
+	conn, err := network.Dial(t.Context(), "tcp", lis.Addr().String())
+	require.NoError(t, err)
 	defer conn.Close()
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: shop.example\r\nX-Id: a\r\nX-Key: 7\r\nX-Deadline: 3000\r\nContent-Length: 0\r\n\r\n", path, version)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: shop.example\r\nX-Id: a\r\nX-Key: 7\r\nX-Deadline: 3000\r\nContent-Length: 0\r\n\r\n", path, version)
 	require.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
--- a/hostlink/validate_test.go
+++ b/hostlink/validate_test.go
@@ -105,6 +105,7 @@
 func (f *fakeHandler) Sync(_ context.Context, q *SyncRequest) (*SyncResponse, error) {
 	return f.sync(q)
 }
+
 func (f *fakeHandler) Relay(_ context.Context, c *RelayRequest) (*RelayResponse, error) {
 	return f.relay(c)
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -17,20 +17,40 @@
 func (r *Router) dispatch(ctx context.Context, q *request) (*reply, error) {
 	t := q.target
 	t.budget.deposit(t.profile.Retry.Budget)
+	var failed attemptErrors
 	for n := 1; ; n++ {
 		a, err := r.attemptHedged(ctx, q)
 		if err == nil {
 			return a, nil
 		}
+		result := failed.add(err)
 		if !q.mayRetry(err) || n >= t.profile.Retry.Attempts || !t.budget.withdraw(q.highPriority()) {
-			return nil, err
+			return nil, result
 		}
 		if !sleepWithinDeadline(ctx, retryDelay(n, err)) {
-			return nil, err
+			return nil, result
 		}
 	}
 }
 
+// attemptErrors collects the errors of a request's attempts.
+type attemptErrors struct {
+	mayHaveRun error // of the first attempt that may have run
+}
+
+// add records the error of an attempt and returns that of the request: once an attempt
+// may have run, a later one that did not run does not change what is told.
+func (e *attemptErrors) add(err error) error {
+	notRun := fault.AnswerOf(fault.KindOf(err)).Outcome == fault.NotRun
+	if e.mayHaveRun == nil && !notRun {
+		e.mayHaveRun = err
+	}
+	if notRun && e.mayHaveRun != nil {
+		return e.mayHaveRun
+	}
+	return err
+}
+
 // mayRetry reports whether err allows another attempt.
 func (q *request) mayRetry(err error) bool {
 	var e *fault.Error
--- a/routing/faultpoints_test.go
+++ b/routing/faultpoints_test.go
@@ -10,10 +10,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
 )
 
 // faultPoint is the point of an exchange at which the server fails.
@@ -56,11 +58,12 @@
 	overlap     sync.WaitGroup // requests that have yet to arrive
 }
 
-func newFaultServer(t testing.TB, checks bool) *faultServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+func newFaultServer(t testing.TB, checks bool) *faultServer { return newFaultServerOn(t, nil, checks) }
+
+// newFaultServerOn returns a server on a network, or on loopback TCP if it is nil.
+func newFaultServerOn(t testing.TB, n *pipenet.Network, checks bool) *faultServer {
 	s := &faultServer{
-		listener:       l,
+		listener:       listen(t, n),
 		checksTokens:   checks,
 		ledger:         map[string]int{},
 		conns:          map[net.Conn]bool{},
@@ -131,7 +134,7 @@
 }
 
 func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.(interface{ SetLinger(sec int) error }).SetLinger(0)
 	_ = c.Close()
 }
 
@@ -275,7 +278,7 @@
 	for name, values := range k.header {
 		req.Header[name] = values
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.client.Do(req)
 	if err != nil {
 		return fault.Unknown, ""
 	}
@@ -323,7 +326,10 @@
 						continue
 					}
 					name := fmt.Sprintf("%s/%s/reused=%v/checks=%v", at, k.name, reused, checks)
-					t.Run(name, func(t *testing.T) { faultCase(t, k, at, reused, checks) })
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						synctest.Test(t, func(t *testing.T) { faultCase(t, k, at, reused, checks) })
+					})
 				}
 			}
 		}
@@ -331,9 +337,9 @@
 }
 
 func faultCase(t *testing.T, k requestCase, at faultPoint, reused, checks bool) {
-	t.Parallel()
-	s := newFaultServer(t, checks)
-	f := newFixture(t, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true})
+	network := pipenet.New()
+	s := newFaultServerOn(t, network, checks)
+	f := newFixture(t, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true, network: network})
 	if reused {
 		first := nextOrder()
 		outcome, body := k.call(t, f, first)
--- a/routing/fixture_test.go
+++ b/routing/fixture_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -8,10 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
 	"github.com/lacewingsaddle/lacewingsaddle/backend"
 	"github.com/lacewingsaddle/lacewingsaddle/control"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/profile"
 	"github.com/lacewingsaddle/lacewingsaddle/tlog"
@@ -93,6 +96,7 @@
 	backends *backend.Set
 	router   *Router
 	http     *httptest.Server
+	client   *http.Client // a caller's
 }
 
 type fixtureOptions struct {
@@ -101,21 +105,38 @@
 	echoes  bool
 	deps    Deps
 	dial    backend.Dialer
+	// network replaces loopback TCP, for tests in virtual time.
+	network *pipenet.Network
+}
+
+// listen listens on a network, or on loopback TCP if it is nil.
+func listen(t testing.TB, n *pipenet.Network) net.Listener {
+	if n != nil {
+		return n.Listen()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l
 }
 
 func newFixture(t testing.TB, o fixtureOptions) *fixture {
-	f := &fixture{backends: backend.NewSet(o.dial)}
+	if o.network != nil && o.dial == nil {
+		o.dial = o.network.Dial
+	}
+	f := &fixture{backends: backend.NewSet(o.dial), client: http.DefaultClient}
+	if o.network != nil {
+		f.client = &http.Client{Transport: &http.Transport{DialContext: o.network.Dial}}
+	}
 	f.source = newSource(o)
 	o.deps.Source, o.deps.Backends = f.source, f.backends
 	f.router = New(o.deps)
-	f.http = httptest.NewUnstartedServer(f.router)
-	f.http.Config = NewServer(f.router)
+	f.http = &httptest.Server{Listener: listen(t, o.network), Config: NewServer(f.router)}
 	f.http.Start()
 	t.Cleanup(func() {
 		f.http.CloseClientConnections()
 		f.http.Close()
 		f.backends.Close()
-		http.DefaultClient.CloseIdleConnections()
+		f.client.CloseIdleConnections()
 	})
 	return f
 }
--- a/routing/forward_test.go
+++ b/routing/forward_test.go
@@ -8,12 +8,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/claim"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
 )
@@ -42,13 +44,12 @@
 
 // newHosts starts n hosts, members of one deployment, in front of the server at o.addr.
 func newHosts(t *testing.T, n int, o fixtureOptions) []*host {
-	client := peer.NewRequestClient(nil)
+	client := peer.NewRequestClient(peerDialer(o.network))
 	t.Cleanup(client.Close)
 	var members []ownership.Member
 	var listeners []net.Listener
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+		l := listen(t, o.network)
 		listeners = append(listeners, l)
 		id := ownership.MemberID("entry-" + string(rune('0'+i)) + "/a")
 		members = append(members, ownership.Member{ID: id, Host: string(id), PeerAddr: l.Addr().String()})
@@ -67,6 +68,14 @@
 	return hosts
 }
 
+// peerDialer returns the dialer of a network, or nil for loopback TCP.
+func peerDialer(n *pipenet.Network) peer.Dialer {
+	if n == nil {
+		return nil
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return n.Dial(ctx, "tcp", addr) }
+}
+
 func (h *host) serve(t *testing.T, l net.Listener) {
 	s, err := peer.NewServer(noControl{}, peer.RequestService(h.router.ForwardedHandler(), h.table))
 	require.NoError(t, err)
@@ -167,7 +176,7 @@
 	require.NoError(t, err)
 	req.Header.Set(HeaderOrderID, id)
 	req.Header.Set(headerTestOrder, id)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := h.client.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
@@ -213,10 +222,15 @@
 }
 
 func TestSimultaneousDuplicatesRunOnce(t *testing.T) {
-	s := newFaultServer(t, false)
+	synctest.Test(t, testSimultaneousDuplicates)
+}
+
+func testSimultaneousDuplicates(t *testing.T) {
+	network := pipenet.New()
+	s := newFaultServerOn(t, network, false)
 	p := testProfile()
 	p.Rules[1].Timeout = 10 * time.Second
-	hosts := newHosts(t, 4, fixtureOptions{addr: s.addr(), profile: p, echoes: true})
+	hosts := newHosts(t, 4, fixtureOptions{addr: s.addr(), profile: p, echoes: true, network: network})
 	const orders = 20
 	var wait sync.WaitGroup
 	for i := range orders {
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -107,10 +107,11 @@
 	}()
 }
 
-// wait returns the first answer, or the last error when every attempt failed.
+// wait returns the first answer, or an error when every attempt failed.
 func (h *hedge) wait(ctx context.Context, after time.Duration) (*reply, error) {
 	timer := time.NewTimer(after)
 	defer timer.Stop()
+	var failed attemptErrors
 	for pending := 1; ; {
 		select {
 		case <-timer.C:
@@ -124,9 +125,10 @@
 				h.cancelOthers(result, pending)
 				return result.reply, nil
 			}
+			err := failed.add(result.err)
 			if pending == 0 {
 				h.cancelOthers(result, 0)
-				return nil, result.err
+				return nil, err
 			}
 		}
 	}
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -1,15 +1,21 @@
 package routing
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
 )
 
 // TestRetriesStayWithinTheirBudget counts the requests that reach a server that
@@ -76,3 +82,36 @@
 	}
 	require.InEpsilon(t, 95*time.Millisecond, q.estimate(), 0.25)
 }
+
+// A lookup that may have run is not answered "not run" since its retry could not be
+// sent, with and without hedging.
+func TestRetryDoesNotHideAnAttemptThatRan(t *testing.T) {
+	for _, at := range []faultPoint{pointOtherID, pointMidAnswer, pointLastByte, pointMidBody} {
+		for _, hedged := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/hedged=%v", at, hedged), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { retryThatIsNotSent(t, at, hedged) })
+			})
+		}
+	}
+}
+
+func retryThatIsNotSent(t *testing.T, at faultPoint, hedged bool) {
+	network := pipenet.New()
+	s := newFaultServerOn(t, network, false)
+	s.arm(at)
+	var dials atomic.Int64
+	once := func(ctx context.Context, kind, addr string) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			return nil, syscall.ECONNREFUSED
+		}
+		return network.Dial(ctx, kind, addr)
+	}
+	p := testProfile()
+	p.Rules[0].Hedge = hedged
+	f := newFixture(t, fixtureOptions{addr: s.addr(), profile: p, echoes: true, network: network, dial: once})
+	order := nextOrder()
+	lookup := requestCase{name: "lookup", method: http.MethodGet, path: "/stock/lookup/k", body: "query"}
+	outcome, _ := lookup.call(t, f, order)
+	require.Equal(t, fault.Unknown, outcome)
+	require.Greater(t, dials.Load(), int64(1), "it was tried again")
+}
