--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -180,6 +180,13 @@
 	// published is the map that was last published, or nil.
 	published *keyrange.Map
 
+	admission *admission
+	admitted  Admission // the limits that hosts were told last
+	// serviceTimes holds the time that a request takes at a server of each service, as
+	// of serviceTimesAt.
+	serviceTimes   map[string]time.Duration
+	serviceTimesAt Time
+
 	omit omissions
 	out  []Action
 }
@@ -193,6 +200,7 @@
 		firstSeen: map[string]Time{},
 		suspects:  newSuspects(),
 		load:      newLoads(),
+		admission: newAdmission(),
 	}
 }
 
@@ -240,7 +248,12 @@
 // servers that are not known here is ignored, so that reports cannot make the state
 // grow.
 func (m *Machine) AddReport(now Time, from string, r Report) {
-	m.load.add(now, m.knownPart(r))
+	r = m.knownPart(r)
+	m.load.add(now, r)
+	m.countOffered(r.Keys)
+	for _, c := range r.Rejected {
+		m.admission.flow(c.ID).rejected += float64(c.Count)
+	}
 	m.suspects.recordReport(now, from)
 	if from != m.cfg.Self.Name {
 		m.otherReportAt = now
@@ -258,6 +271,7 @@
 func (m *Machine) knownPart(r Report) Report {
 	r.Keys = slices.DeleteFunc(slices.Clone(r.Keys), func(k KeyLoad) bool { return !slices.Contains(m.sharded, k.Service) })
 	r.Latencies = slices.DeleteFunc(slices.Clone(r.Latencies), func(t ServerLatency) bool { return m.servers.Find(t.ID) == nil })
+	r.Rejected = slices.DeleteFunc(slices.Clone(r.Rejected), func(c ServerCount) bool { return m.servers.Find(c.ID) == nil })
 	return r
 }
 
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -14,6 +14,8 @@
 	m.confirming, m.confirmFailed = false, false
 	m.ranges = nil
 	m.load.reset(now)
+	m.admission = newAdmission()
+	m.admitted = Admission{}
 	m.suspects.reset()
 	m.change = m.known.Change
 	// An earlier assigner may have renewed the grant of any holder until its lease
@@ -52,6 +54,7 @@
 	}
 	m.requestProbes(now)
 	m.planWhenDue(now)
+	m.decideAdmission(now)
 	hold := m.holdTime(now)
 	for _, r := range m.ranges {
 		m.advanceRange(now, r, hold)
--- a/assigner/loads.go
+++ b/assigner/loads.go
@@ -100,10 +100,10 @@
 	}
 }
 
-// speeds returns each server's speed relative to the median of those given, or 1
-// where there are too few latencies.
-func (l *loads) speeds(ids []string) map[string]float64 {
-	typical := make(map[string]float64, len(ids))
+// typicalMillis returns the typical latency of each server in milliseconds, where enough
+// are known, and their median, or 0 if there is none.
+func (l *loads) typicalMillis(ids []string) (typical map[string]float64, median float64) {
+	typical = make(map[string]float64, len(ids))
 	var all []float64
 	for _, id := range ids {
 		if q, ok := quantile(l.latencies[id], latencyQuantile); ok {
@@ -111,15 +111,21 @@
 			all = append(all, q)
 		}
 	}
+	if len(all) == 0 {
+		return typical, 0
+	}
+	slices.Sort(all)
+	return typical, all[len(all)/2]
+}
+
+// speeds returns each server's speed relative to the median of those given, or 1
+// where there are too few latencies.
+func (l *loads) speeds(ids []string) map[string]float64 {
+	typical, median := l.typicalMillis(ids)
 	out := make(map[string]float64, len(ids))
 	for _, id := range ids {
 		out[id] = 1
 	}
-	if len(all) == 0 {
-		return out
-	}
-	slices.Sort(all)
-	median := all[len(all)/2]
 	for id, q := range typical {
 		out[id] = min(max(median/q, minSpeed), maxSpeed)
 	}
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -111,10 +111,18 @@
 	Millis int    `json:"m"`
 }
 
+// ServerCount is the number of requests that a server rejected in a report.
+type ServerCount struct {
+	ID    string `json:"i"`
+	Count int    `json:"n"`
+}
+
 // Report is what a host has observed since its last report.
 type Report struct {
 	Keys      []KeyLoad       `json:"keys,omitempty"`
 	Latencies []ServerLatency `json:"times,omitempty"`
+	// Rejected lists the servers that shed requests or closed their connections.
+	Rejected []ServerCount `json:"rejected,omitempty"`
 	// Refused lists the servers at whose address no process listened. Reached lists
 	// those at which one did, or whose state could not be determined.
 	Refused []keyrange.Holder `json:"refused,omitempty"`
@@ -188,6 +196,10 @@
 // Publish sends the map to every host.
 type Publish struct{ Map *keyrange.Map }
 
+// Admit tells every host which servers' requests to limit.
+type Admit struct{ Admission Admission }
+
+func (Admit) action()         {}
 func (Load) action()          {}
 func (Append) action()        {}
 func (Confirm) action()       {}
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -33,7 +33,7 @@
 type response struct{ *hostlink.SyncResponse }
 
 func (r response) hasUpdates() bool {
-	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0
+	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil
 }
 
 func waitFor(ctx context.Context, wake <-chan struct{}, d time.Duration) {
@@ -79,6 +79,9 @@
 	if v.Routes != nil && v.Routes.Version > q.Config {
 		a.Config = c.rawConfig
 	}
+	if a.Leads && v.Admission != nil && v.Admission.Version != q.Admission {
+		a.Admission = v.Admission
+	}
 	if a.Leads && v.ProbeRound > q.ProbeRound {
 		a.ProbeRound, a.Suspects = v.ProbeRound, v.Suspects
 	}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -286,6 +286,8 @@
 			c.goWithTimeout(releaseTimeout, func(ctx context.Context) { c.release(ctx, a) })
 		case assigner.Publish:
 			c.applyMap(a.Map)
+		case assigner.Admit:
+			c.applyAdmission(&a.Admission)
 		case assigner.ProbeSuspects:
 			c.requestProbes(a.Suspects)
 		}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// AddRejected reports that a server shed a request or closed its connection, which are
+// signs of a full server.
+func (c *Cluster) AddRejected(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.report.Rejected {
+		if c.report.Rejected[i].ID == server {
+			c.report.Rejected[i].Count++
+			return
+		}
+	}
+	c.report.Rejected = append(c.report.Rejected, assigner.ServerCount{ID: server, Count: 1})
+}
+
 // AddRefused reports that a server refused a connection, which may mean that its
 // process has ended.
 func (c *Cluster) AddRefused(h keyrange.Holder) {
@@ -141,6 +155,9 @@
 	if v.Owners != nil {
 		q.body.Map = v.Owners.Version
 	}
+	if v.Admission != nil {
+		q.body.Admission = v.Admission.Version
+	}
 	if v.Routes != nil {
 		q.body.Config = v.Routes.Version
 	}
@@ -197,6 +214,9 @@
 			c.logEvent(event.MapInvalid{Epoch: a.Epoch})
 		}
 	}
+	if a.Admission != nil && a.Leads {
+		c.applyAdmission(a.Admission)
+	}
 	if a.ProbeRound > c.View().ProbeRound && a.Leads {
 		c.views.update(func(v *View) { v.ProbeRound = a.ProbeRound })
 		c.probeSuspects(a.Suspects)
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -68,6 +68,20 @@
 	c.machine.SetServers(c.cfg.Clock(), assigner.Servers{Snapshot: s, Sharded: sharded})
 }
 
+// applyAdmission publishes the limits on admission if they are newer.
+func (c *Cluster) applyAdmission(a *assigner.Admission) {
+	if old := c.View().Admission; old != nil && !old.Version.Less(a.Version) {
+		return
+	}
+	e := event.AdmissionChanged{Epoch: a.Version.Epoch, Change: a.Version.Change, Lowest: 1}
+	for _, l := range a.Limits {
+		e.Servers = append(e.Servers, l.Server)
+		e.Lowest = min(e.Lowest, l.Share)
+	}
+	c.logEvent(e)
+	c.views.update(func(v *View) { v.Admission = a })
+}
+
 // applyConfig publishes a newer configuration.
 func (c *Cluster) applyConfig(data []byte) {
 	table, err := c.store.DecodeConfig(data)
--- a/event/event.go
+++ b/event/event.go
@@ -80,6 +80,7 @@
 	row[KeysReleased](infoLevel, "cluster: keys released"),
 	row[GrantFailed](warnLevel, "cluster: grant failed"),
 	row[MapApplied](infoLevel, "cluster: map taken"),
+	row[AdmissionChanged](infoLevel, "cluster: admission changed"),
 	row[MapInvalid](warnLevel, "cluster: invalid map from another host"),
 	row[ServerFound](infoLevel, "cluster: backend server found"),
 	row[ServerRestarted](infoLevel, "cluster: backend server restarted"),
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -44,6 +44,9 @@
 		if err != nil {
 			return q.giveUp(err)
 		}
+		if err := g.admit(q, s); err != nil {
+			return q.giveUp(err)
+		}
 		a, err := g.queueAndSend(q, s)
 		if err == nil {
 			q.dropFailure()
@@ -155,11 +158,23 @@
 	}
 	start := time.Now()
 	a, err := g.send(q, s)
-	shed := fault.KindOf(err) == fault.NotAccepted
-	s.limiter.release(time.Since(start), q.target(), err != nil && shed, err != nil)
+	s.limiter.release(time.Since(start), q.target(), isRejection(err), err != nil)
 	return a, err
 }
 
+// isRejection reports whether an error is a sign of a full server: it shed the request,
+// or closed the connection before or after it was sent.
+func isRejection(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.NotAccepted, fault.Overloaded, fault.AnswerCut:
+		return true
+	}
+	return false
+}
+
 // send sends q once and classifies the response.
 func (g *Gateway) send(q *request, s *server) (*upstream.Response, error) {
 	if q.rest != nil {
@@ -177,6 +192,9 @@
 	s.requestEnded(took, countsAsFailure(a, err))
 	if err != nil {
 		q.mayHaveRun = q.mayHaveRun || mayHaveRun(err)
+		if isRejection(err) {
+			g.control.AddRejected(s.Holder.ID)
+		}
 		g.recordSendFailed(q, s, err, took)
 		return nil, err
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -41,6 +41,7 @@
 }
 func (c *fakeControl) AddLoad(string, keyrange.Key)          {}
 func (c *fakeControl) AddResponseTime(string, time.Duration) {}
+func (c *fakeControl) AddRejected(string)                    {}
 func (c *fakeControl) MapAge() time.Duration                 { return 0 }
 func (c *fakeControl) AddRefused(h keyrange.Holder) {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	AddLoad(service string, key keyrange.Key)
 	// AddResponseTime reports how long a server took to answer a request.
 	AddResponseTime(server string, took time.Duration)
+	// AddRejected reports that a server shed a request or closed its connection.
+	AddRejected(server string)
 	// AddRefused reports that a server refused a connection.
 	AddRefused(h keyrange.Holder)
 	// MapAge returns how long ago an assigner confirmed the map of owners.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -48,6 +48,7 @@
 	config  uint64 // version of the configuration that the route is from
 	sampled bool   // all events are logged, also those of a request without trouble
 
+	admitted   bool // counted among the admitted requests of a server
 	attempts   upstream.Attempts
 	tried      []string // ids of the backend servers that it was sent to, each once
 	lastServer string   // id of the backend server of the last attempt
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -31,6 +31,8 @@
 	directory.Server
 	conns   *upstream.Server
 	limiter *limiter
+	// admitter admits the share of the requests that the assigner allows.
+	admitter *admitter
 
 	mu             sync.Mutex
 	outstanding    int
@@ -99,7 +101,7 @@
 	defer s.mu.Unlock()
 	known := s.all[v.Holder]
 	if known == nil || known.Address != v.Address {
-		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial, s.buffers), limiter: newLimiter(limit), averageLatency: initialLatency}
+		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial, s.buffers), limiter: newLimiter(limit), admitter: newAdmitter(), averageLatency: initialLatency}
 		s.all[v.Holder] = known
 	}
 	known.conns.SetLimit(limit + spareConnections)
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -39,11 +39,13 @@
 	Map   keyrange.Version `json:"map"`
 	// Servers is the version of the known directory, the zero version if none is
 	// known.
-	Servers    directory.Version `json:"servers"`
-	Config     uint64            `json:"config"` // version of the known configuration
-	Hosts      uint64            `json:"hosts"`  // version of the known list of hosts
-	Report     assigner.Report   `json:"report"`
-	ProbeRound uint64            `json:"asked"` // last known probe round
+	Servers directory.Version `json:"servers"`
+	Config  uint64            `json:"config"` // version of the known configuration
+	Hosts   uint64            `json:"hosts"`  // version of the known list of hosts
+	// Admission is the version of the known limits on admission.
+	Admission  keyrange.Version `json:"admission"`
+	Report     assigner.Report  `json:"report"`
+	ProbeRound uint64           `json:"asked"` // last known probe round
 	// WaitMS is how long the response may be delayed while there are no updates, in
 	// milliseconds.
 	WaitMS int `json:"wait"`
@@ -59,11 +61,12 @@
 	Map       *Map                `json:"map,omitempty"`
 	Servers   *directory.Snapshot `json:"servers,omitempty"`
 	// Changes replaces Servers if the changes to the requester's directory are enough.
-	Changes    *directory.Delta   `json:"changes,omitempty"`
-	Hosts      *HostList          `json:"hosts,omitempty"`
-	Config     []byte             `json:"config,omitempty"` // as stored
-	Suspects   []assigner.Suspect `json:"suspects,omitempty"`
-	ProbeRound uint64             `json:"asked,omitempty"`
+	Changes    *directory.Delta    `json:"changes,omitempty"`
+	Hosts      *HostList           `json:"hosts,omitempty"`
+	Admission  *assigner.Admission `json:"admission,omitempty"`
+	Config     []byte              `json:"config,omitempty"` // as stored
+	Suspects   []assigner.Suspect  `json:"suspects,omitempty"`
+	ProbeRound uint64              `json:"asked,omitempty"`
 }
 
 // HostList holds the entry hosts that registered after the requested version, and the
--- a/hostlink/validate.go
+++ b/hostlink/validate.go
@@ -77,7 +77,13 @@
 			return err
 		}
 	}
+	for _, c := range r.Rejected {
+		if err := check(validName(c.ID) && c.Count > 0 && c.Count <= maxCount, "report.rejected"); err != nil {
+			return err
+		}
+	}
 	return first(
+		check(len(r.Rejected) <= maxEntries, "report.rejected"),
 		check(len(r.Keys) <= maxEntries && len(r.Latencies) <= maxEntries, "report"),
 		validateHolders(r.Refused, "report.refused"),
 		validateHolders(r.Reached, "report.reached"),
@@ -100,6 +106,7 @@
 		validateChanges(a.Changes),
 		validateHosts(a.Hosts),
 		validateSuspects(a.Suspects),
+		validateAdmission(a.Admission),
 	)
 }
 
@@ -173,6 +180,22 @@
 	return check(len(list) <= maxEntries, "suspects")
 }
 
+// validateAdmission checks the shares and their order, which lookups rely on.
+func validateAdmission(a *assigner.Admission) error {
+	if a == nil {
+		return nil
+	}
+	for i, l := range a.Limits {
+		if err := check(validName(l.Server) && l.Share >= 0 && l.Share <= 1, "admission"); err != nil {
+			return err
+		}
+		if i > 0 && a.Limits[i-1].Server >= l.Server {
+			return check(false, "admission (not in order)")
+		}
+	}
+	return check(len(a.Limits) <= maxServers, "admission")
+}
+
 func (c *RelayRequest) validate() error {
 	return first(
 		check(validName(c.From.Name), "from"),
--- a/hostlink/validate_test.go
+++ b/hostlink/validate_test.go
@@ -83,6 +83,9 @@
 		"a change of another server":      &SyncResponse{Changes: &directory.Delta{Changes: []directory.Change{{ID: "b", Server: &directory.Server{}}}}},
 		"a host without an address":       &SyncResponse{Hosts: &HostList{Hosts: []assigner.Host{{Name: "a"}}}},
 		"a suspect without an address":    &SyncResponse{Suspects: []assigner.Suspect{{Holder: keyrange.Holder{ID: "a"}}}},
+		"a share above one":               &SyncResponse{Admission: &assigner.Admission{Limits: []assigner.AdmissionLimit{{Server: "a", Share: 2}}}},
+		"shares out of order":             &SyncResponse{Admission: &assigner.Admission{Limits: []assigner.AdmissionLimit{{Server: "b"}, {Server: "a"}}}},
+		"a negative number of rejections": sync(func(q *SyncRequest) { q.Report.Rejected = []assigner.ServerCount{{ID: "a", Count: -1}} }),
 		"a result that is not listed":     &RelayResponse{Result: 200},
 		"a handover token without an end": &RelayResponse{Handover: long},
 	}
