--- a/assigner/admission.go
+++ b/assigner/admission.go
@@ -18,19 +18,26 @@
 	// counts as overloaded.
 	minRejections = 3.0
 	// overloadRatio is the number of requests relative to what a server can serve from
-	// which on they are limited.
-	overloadRatio = 1.2
+	// which on they are limited. Fewer wait at the hosts, in order of priority.
+	overloadRatio = 2.5
+	// excessAdmitted is the number of requests relative to the answered ones that hosts
+	// admit while the server rejects some, so that a few always wait for its slots.
+	excessAdmitted = 1.2
 	// rejectedShare is the share of the admitted requests that a server may reject
 	// before fewer are admitted.
-	rejectedShare = 0.1
-	// admissionDecrease and admissionIncrease change the admitted rate after a decision
-	// interval with and without rejections.
-	admissionDecrease = 0.85
-	admissionIncrease = 1.04
-	// minAdmitted and maxAdmitted bound the admitted rate relative to the estimate of
-	// what the server can serve.
+	rejectedShare = 0.2
+	// admissionIncrease changes the admitted rate after an interval with fewer
+	// rejections.
+	admissionIncrease = 1.08
+	// hostsPerSlot is the number of entry hosts for each slot of a server from which on
+	// its requests are limited. With fewer, the hosts' own limiters learn its room, and
+	// let callers wait for it.
+	hostsPerSlot = 4
+	// minAdmitted bounds the admitted rate, relative to the estimate of what the server
+	// can serve: below it, rejections have another cause than load.
 	minAdmitted = 0.4
-	maxAdmitted = 2.5
+	// forgottenCount is the remembered count below which a key or server is forgotten.
+	forgottenCount = 0.1
 	// admissionStep is the relative change of a share below which hosts are not told.
 	admissionStep = 0.15
 	// assumedServiceTime is the time that a request takes at a server while no response
@@ -38,58 +45,85 @@
 	assumedServiceTime = 250 * time.Millisecond
 )
 
-// Admission lists the servers for which hosts admit only a share of the requests.
+// HotKey identifies a key of a service.
+type HotKey struct {
+	Service string       `json:"s"`
+	Key     keyrange.Key `json:"k"`
+}
+
+// Admission lists the keys for which hosts admit only a share of the requests.
 type Admission struct {
 	Version keyrange.Version `json:"version"`
-	Limits  []AdmissionLimit `json:"limits,omitempty"` // sorted by server
+	Limits  []AdmissionLimit `json:"limits,omitempty"`
 }
 
-// AdmissionLimit is the share of the requests to one server that hosts admit.
+// AdmissionLimit is the share of the requests for one key that hosts admit.
 type AdmissionLimit struct {
-	Server string  `json:"i"`
-	Share  float64 `json:"a"` // 0 to 1
+	HotKey
+	Share float64 `json:"a"` // 0 to 1
 }
 
-// Share returns the share of the requests to a server that hosts admit.
-func (a *Admission) Share(server string) float64 {
+// Share returns the share of the requests for a key that hosts admit.
+func (a *Admission) Share(service string, key keyrange.Key) float64 {
 	if a == nil {
 		return 1
 	}
-	i := sort.Search(len(a.Limits), func(i int) bool { return a.Limits[i].Server >= server })
-	if i == len(a.Limits) || a.Limits[i].Server != server {
-		return 1
+	for _, l := range a.Limits { // a few at most
+		if l.Key == key && l.Service == service {
+			return l.Share
+		}
 	}
-	return a.Limits[i].Share
+	return 1
 }
 
-// admission decides how many of the requests to each server hosts admit.
+// admission decides how many of the requests for a hot key hosts admit.
 //
-// It answers a key, or keys that have not been spread yet, with more requests than their
-// owner can serve. Hundreds of hosts see a few of these requests each: too few to learn
-// the owner's room from their own outcomes, and even one request in flight a host
-// overruns the owner, which then sheds what it has queued. Taken together, the hosts'
-// reports show the requests, the answers and the rejections of each server.
+// It answers a single key with more requests than a server can serve, which cannot be
+// spread. Hundreds of hosts see a few of these requests each: too few to learn the
+// owner's room from their own outcomes, and even one request in flight a host overruns
+// the owner, which then sheds what it has queued. Taken together, the hosts' reports show
+// the requests for the key and the answers and rejections of its owner.
 type admission struct {
-	flows     map[string]*flow // by server
+	keys      map[HotKey]*keyFlow
+	servers   map[string]*serverFlow
 	decayedAt Time
 	decidedAt Time
 }
 
-// flow holds the remembered requests for one server. Divided by flowDecayTime, the counts
-// are rates.
-type flow struct {
-	offered  float64 // requests for the server's keys, admitted or not
+// keyFlow holds the requests for a key that has a range of its own. Divided by
+// flowDecayTime, counts are rates.
+type keyFlow struct {
+	owner   string
+	offered float64 // requests, admitted or not
+	rate    float64 // admitted requests per second; 0 if they are not limited
+}
+
+// serverFlow holds the outcomes of the requests to a server.
+type serverFlow struct {
+	answered float64
 	rejected float64 // requests that the server shed or whose connection it closed
-	rate     float64 // admitted requests per second; 0 if they are not limited
 }
 
-func newAdmission() *admission { return &admission{flows: map[string]*flow{}} }
+func newAdmission() *admission {
+	return &admission{keys: map[HotKey]*keyFlow{}, servers: map[string]*serverFlow{}}
+}
 
-func (a *admission) flow(server string) *flow {
-	f := a.flows[server]
+// offered counts requests for a key that has a range of its own.
+func (a *admission) offered(k HotKey, owner string, n int) {
+	f := a.keys[k]
 	if f == nil {
-		f = &flow{}
-		a.flows[server] = f
+		f = &keyFlow{}
+		a.keys[k] = f
+	}
+	f.owner = owner
+	f.offered += float64(n)
+}
+
+func (a *admission) server(id string) *serverFlow {
+	f := a.servers[id]
+	if f == nil {
+		f = &serverFlow{}
+		a.servers[id] = f
 	}
 	return f
 }
@@ -97,11 +131,16 @@
 func (a *admission) decay(now Time) {
 	factor := math.Exp(-float64(now-a.decayedAt) / float64(flowDecayTime))
 	a.decayedAt = now
-	for id, f := range a.flows {
-		f.offered *= factor
+	for k, f := range a.keys {
+		if f.offered *= factor; f.offered < forgottenCount {
+			delete(a.keys, k)
+		}
+	}
+	for id, f := range a.servers {
+		f.answered *= factor
 		f.rejected *= factor
-		if f.offered < 0.1 && f.rejected < 0.1 && f.rate == 0 {
-			delete(a.flows, id)
+		if f.answered < forgottenCount && f.rejected < forgottenCount {
+			delete(a.servers, id)
 		}
 	}
 }
@@ -114,42 +153,52 @@
 	}
 	a.decidedAt = now
 	a.decay(now)
-	for id, f := range a.flows {
-		f.decide(capacity(id))
+	for _, f := range a.keys {
+		f.decide(a.server(f.owner), capacity(f.owner))
 	}
 	return true
 }
 
-func (f *flow) decide(capacity float64) {
-	offered := f.offered / flowDecayTime.Seconds()
-	if f.rate == 0 {
-		if f.rejected >= minRejections && offered > overloadRatio*capacity {
-			f.rate = capacity
-		}
+// decide sets the admitted rate from what the owner does: while it rejects requests, what
+// it answers is what it can serve; while it does not, it may have room for more.
+func (f *keyFlow) decide(owner *serverFlow, capacity float64) {
+	offered, answered := perSecond(f.offered), perSecond(owner.answered)
+	admitted := min(f.offered, f.rate*flowDecayTime.Seconds())
+	switch {
+	case f.rate == 0 && (owner.rejected < minRejections || offered < overloadRatio*capacity):
 		return
-	}
-	admitted := min(f.rate, offered) * flowDecayTime.Seconds()
-	if f.rejected > rejectedShare*admitted && f.rejected >= 1 {
-		f.rate *= admissionDecrease
-	} else {
+	case f.rate == 0:
+		f.rate = max(excessAdmitted*answered, capacity)
+		owner.rejected = 0
+	case owner.rejected > max(rejectedShare*admitted, 1):
+		f.rate = min(f.rate, excessAdmitted*answered)
+		owner.rejected = 0 // these have been answered for
+	default:
 		f.rate *= admissionIncrease
 	}
-	f.rate = min(max(f.rate, minAdmitted*capacity), maxAdmitted*capacity)
+	f.rate = max(f.rate, minAdmitted*capacity)
 	if offered <= f.rate {
 		f.rate = 0
 	}
 }
 
-// limits returns the present limits, sorted by server.
+// perSecond returns the rate of a remembered count.
+func perSecond(count float64) float64 { return count / flowDecayTime.Seconds() }
+
+// limits returns the present limits, sorted by key.
 func (a *admission) limits() []AdmissionLimit {
 	var out []AdmissionLimit
-	for id, f := range a.flows {
-		if f.rate > 0 && f.offered > 0 {
-			share := f.rate * flowDecayTime.Seconds() / f.offered
-			out = append(out, AdmissionLimit{Server: id, Share: min(share, 1)})
+	for k, f := range a.keys {
+		if f.rate > 0 {
+			out = append(out, AdmissionLimit{HotKey: k, Share: min(f.rate/perSecond(f.offered), 1)})
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Key != out[j].Key {
+			return out[i].Key < out[j].Key
+		}
+		return out[i].Service < out[j].Service
+	})
 	return out
 }
 
@@ -159,19 +208,20 @@
 		return false
 	}
 	for i := range a {
-		if a[i].Server != b[i].Server || math.Abs(a[i].Share-b[i].Share) > admissionStep*a[i].Share {
+		if a[i].HotKey != b[i].HotKey || math.Abs(a[i].Share-b[i].Share) > admissionStep*a[i].Share {
 			return false
 		}
 	}
 	return true
 }
 
-// countOffered counts the reported requests for keys at the owners of the keys.
+// countOffered counts the reported requests for keys that have a range of their own: the
+// planner has separated them from the others, and cannot spread them.
 func (m *Machine) countOffered(keys []KeyLoad) {
 	for _, k := range keys {
 		if t := m.published.Table(k.Service); t != nil {
-			if r := t.Find(k.Key); r != nil {
-				m.admission.flow(r.Owner.ID).offered += float64(k.Count)
+			if r := t.Find(k.Key); r != nil && r.Width() == 1 {
+				m.admission.offered(HotKey{k.Service, k.Key}, r.Owner.ID, k.Count)
 			}
 		}
 	}
@@ -193,12 +243,13 @@
 	m.emit(Admit{Admission: m.admitted})
 }
 
-// capacity estimates how many requests per second a server can serve. The response times
-// of an overloaded server contain the wait in its queue, so those of its service count.
+// capacity estimates how many requests per second a server can serve, or returns infinity
+// if its requests are not to be limited. The response times of an overloaded server
+// contain the wait in its queue, so those of its service count.
 func (m *Machine) capacity(server string) float64 {
 	v := m.servers.Find(server)
-	if v == nil {
-		return 0
+	if v == nil || m.suspects.registered < hostsPerSlot*v.Slots {
+		return math.Inf(1)
 	}
 	if m.serviceTimesAt == 0 || m.admission.decidedAt-m.serviceTimesAt > time.Second {
 		m.serviceTimesAt = m.admission.decidedAt
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -251,8 +251,11 @@
 	r = m.knownPart(r)
 	m.load.add(now, r)
 	m.countOffered(r.Keys)
+	for _, t := range r.Latencies {
+		m.admission.server(t.ID).answered++
+	}
 	for _, c := range r.Rejected {
-		m.admission.flow(c.ID).rejected += float64(c.Count)
+		m.admission.server(c.ID).rejected += float64(c.Count)
 	}
 	m.suspects.recordReport(now, from)
 	if from != m.cfg.Self.Name {
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -75,7 +75,7 @@
 	}
 	e := event.AdmissionChanged{Epoch: a.Version.Epoch, Change: a.Version.Change, Lowest: 1}
 	for _, l := range a.Limits {
-		e.Servers = append(e.Servers, l.Server)
+		e.Keys = append(e.Keys, l.Service+"/"+strconv.Itoa(int(l.Key)))
 		e.Lowest = min(e.Lowest, l.Share)
 	}
 	c.logEvent(e)
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -15,7 +15,7 @@
 	Servers *directory.Snapshot
 	Owners  *keyrange.Map // nil until an assignment is known
 	Hosts   int           // number of entry hosts that share limits and budgets, this one included
-	// Admission limits the requests to overloaded servers; nil means no limits.
+	// Admission limits the requests for hot keys; nil means no limits.
 	Admission *assigner.Admission
 	// Suspects are the servers that every host is to probe in round ProbeRound. Only
 	// the assigner's view lists them.
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -214,21 +214,21 @@
 	return fmt.Sprintf("routes by map %d.%d: %d of %d ranges granted", e.Epoch, e.Change, e.Granted, e.Ranges)
 }
 
-// AdmissionChanged records to which overloaded servers hosts admit only a share of the
-// requests from now on.
+// AdmissionChanged records for which hot keys hosts admit only a share of the requests
+// from now on.
 type AdmissionChanged struct {
-	Epoch   uint64   `json:"epoch"`
-	Change  uint64   `json:"change"`
-	Servers []string `json:"servers"`
-	Lowest  float64  `json:"lowest"` // lowest of the shares, 0 to 1
+	Epoch  uint64   `json:"epoch"`
+	Change uint64   `json:"change"`
+	Keys   []string `json:"keys"`   // service/key
+	Lowest float64  `json:"lowest"` // lowest of the shares, 0 to 1
 }
 
 // Text implements Event.
 func (e AdmissionChanged) Text() string {
-	if len(e.Servers) == 0 {
-		return "requests to every backend server are admitted"
+	if len(e.Keys) == 0 {
+		return "the requests for every key are admitted"
 	}
-	return fmt.Sprintf("admits a share of the requests to %s, at the least %.1f%%", strings.Join(e.Servers, ", "), 100*e.Lowest)
+	return fmt.Sprintf("admits a share of the requests for %s, at the least %.1f%%", strings.Join(e.Keys, ", "), 100*e.Lowest)
 }
 
 // MapInvalid records that another host sent a map that is invalid.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,15 +41,14 @@
 	return true
 }
 
-// admit refuses a request at once if the hosts together have more requests for its
-// server than that can serve. It counts each request once, however often it is sent.
+// admit refuses a request at once if the hosts together have more requests for its key
+// than the owner can serve. It counts each request once, however often it is sent.
 func (g *Gateway) admit(q *request, s *server) error {
 	if q.admitted || !q.keyed || g.control.MapAge() > admissionLifetime {
 		return nil
 	}
-	share := g.control.View().Admission.Share(s.Holder.ID)
-	if !s.admitter.admit(share) {
-		return notRun(fault.Overloaded, "the hosts have more requests for the server than it can serve", retryAfterLimited)
+	if !s.admitter.admit(g.control.View().Admission.Share(q.service.Name, q.key)) {
+		return notRun(fault.Overloaded, "there are more requests for the key than its owner can serve", retryAfterLimited)
 	}
 	q.admitted = true
 	return nil
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -29,9 +29,11 @@
 
 // fakeControl is a Control whose view is set by the test.
 type fakeControl struct {
-	mu      sync.Mutex
-	view    *cluster.View
-	refused []keyrange.Holder
+	mu       sync.Mutex
+	view     *cluster.View
+	refused  []keyrange.Holder
+	rejected map[string]int // by server
+	mapAge   time.Duration
 }
 
 func (c *fakeControl) View() *cluster.View {
@@ -41,8 +43,13 @@
 }
 func (c *fakeControl) AddLoad(string, keyrange.Key)          {}
 func (c *fakeControl) AddResponseTime(string, time.Duration) {}
-func (c *fakeControl) AddRejected(string)                    {}
-func (c *fakeControl) MapAge() time.Duration                 { return 0 }
+func (c *fakeControl) MapAge() time.Duration                 { return c.mapAge }
+func (c *fakeControl) AddRejected(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rejected[server]++
+}
+
 func (c *fakeControl) AddRefused(h keyrange.Holder) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,7 +98,7 @@
 		})
 		b.servers[id] = b.echo
 	}
-	b.control = &fakeControl{view: &cluster.View{
+	b.control = &fakeControl{rejected: map[string]int{}, view: &cluster.View{
 		Routes:  testRoutes(1),
 		Servers: &directory.Snapshot{Servers: list},
 		Owners:  owners("s1", 1),
--- a/hostlink/validate.go
+++ b/hostlink/validate.go
@@ -180,20 +180,16 @@
 	return check(len(list) <= maxEntries, "suspects")
 }
 
-// validateAdmission checks the shares and their order, which lookups rely on.
 func validateAdmission(a *assigner.Admission) error {
 	if a == nil {
 		return nil
 	}
-	for i, l := range a.Limits {
-		if err := check(validName(l.Server) && l.Share >= 0 && l.Share <= 1, "admission"); err != nil {
+	for _, l := range a.Limits {
+		if err := check(validName(l.Service) && l.Share >= 0 && l.Share <= 1, "admission"); err != nil {
 			return err
 		}
-		if i > 0 && a.Limits[i-1].Server >= l.Server {
-			return check(false, "admission (not in order)")
-		}
 	}
-	return check(len(a.Limits) <= maxServers, "admission")
+	return check(len(a.Limits) <= maxEntries, "admission")
 }
 
 func (c *RelayRequest) validate() error {
