--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -158,23 +158,24 @@
 	}
 	start := time.Now()
 	a, err := g.send(q, s)
-	s.limiter.release(time.Since(start), q.target(), isRejection(err), err != nil)
+	s.limiter.release(time.Since(start), q.target(), isShed(err), err != nil)
 	return a, err
 }
 
-// isRejection reports whether an error is a sign of a full server: it shed the request,
-// or closed the connection before or after it was sent.
-func isRejection(err error) bool {
+// isShed reports whether an error shows that the server was full: it shed the request, or
+// closed a new connection.
+func isShed(err error) bool {
 	if err == nil {
 		return false
 	}
-	switch fault.KindOf(err) {
-	case fault.NotAccepted, fault.Overloaded, fault.AnswerCut:
-		return true
-	}
-	return false
+	kind := fault.KindOf(err)
+	return kind == fault.NotAccepted || kind == fault.Overloaded
 }
 
+// isRejection reports whether an error may mean that the server was full: some servers
+// close the connections of requests in their queue.
+func isRejection(err error) bool { return isShed(err) || fault.KindOf(err) == fault.AnswerCut }
+
 // send sends q once and classifies the response.
 func (g *Gateway) send(q *request, s *server) (*upstream.Response, error) {
 	if q.rest != nil {
