cluster, hostlink: what hundreds of hosts ask for is built and encoded once

Cause (295 hosts, 900 servers): the assigner is the hub of a star and encoded the directory (250 KB) and the map (60 KB) as JSON for each host that asked.

Change: responses are kept by the versions that they start from, and encoded once; a long one is compressed for hosts that say they read that (an earlier version does not). The machine ticks at most every 5 ms, not with every message. The time limit of a sync request grows with the number of hosts.

--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -59,12 +59,26 @@
 
 func (c *Cluster) buildResponse(q *hostlink.SyncRequest) *hostlink.SyncResponse {
 	now := c.cfg.Clock()
-	a := &hostlink.SyncResponse{Epoch: c.machine.Epoch(), Assigner: c.machine.Assigner(), Leads: c.machine.Leads(now)}
-	a.Abandoned = c.stopping || c.failingSince != 0 && now-c.failingSince > abandonAfter
-	if a.Leads {
+	leads := c.machine.Leads(now)
+	if leads {
 		c.machine.AddReport(now, q.From.Name, q.Report)
 	}
-	v := c.View()
+	s := responseState{
+		view:      c.View(),
+		epoch:     c.machine.Epoch(),
+		assigner:  c.machine.Assigner(),
+		leads:     leads,
+		abandoned: c.stopping || c.failingSince != 0 && now-c.failingSince > abandonAfter,
+		hosts:     c.hostsVersion,
+	}
+	return c.responses.get(s, responseKeyOf(q), func() *hostlink.SyncResponse { return c.newResponse(s, q) })
+}
+
+// newResponse returns what this host has in state s that is newer than what the
+// requesting host has.
+func (c *Cluster) newResponse(s responseState, q *hostlink.SyncRequest) *hostlink.SyncResponse {
+	a := &hostlink.SyncResponse{Epoch: s.epoch, Assigner: s.assigner, Leads: s.leads, Abandoned: s.abandoned, Compress: q.Compressed}
+	v := s.view
 	if v.Owners != nil && q.Map.Less(v.Owners.Version) {
 		m := v.Owners
 		if a.Leads {
@@ -72,8 +86,8 @@
 		}
 		a.Map = hostlink.PackMap(m)
 	}
-	c.addDirectory(a, q)
-	if c.hostsVersion > q.Hosts {
+	addDirectory(a, v.Servers, q)
+	if s.hosts > q.Hosts {
 		a.Hosts = c.hostsSince(q.Hosts)
 	}
 	if v.Routes != nil && v.Routes.Version > q.Config {
@@ -91,8 +105,7 @@
 // addDirectory adds the changes to the directory that the requesting host has from
 // this assigner, or the whole directory. A host that is not the leader sends its
 // directory only to a host that has none.
-func (c *Cluster) addDirectory(a *hostlink.SyncResponse, q *hostlink.SyncRequest) {
-	v := c.View().Servers
+func addDirectory(a *hostlink.SyncResponse, v *directory.Snapshot, q *hostlink.SyncRequest) {
 	switch {
 	case v.Version == q.Servers || len(v.Servers) == 0:
 	case !a.Leads && q.Servers != (directory.Version{}):
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -20,7 +20,11 @@
 	// return.
 	syncWait = 150 * time.Millisecond
 	// syncTimeout bounds a sync request; after it the assigner counts as silent.
-	syncTimeout = 450 * time.Millisecond
+	// It grows with the number of hosts, as the assigner serves them one after the other.
+	syncTimeout        = 450 * time.Millisecond
+	syncTimeoutPerHost = 2 * time.Millisecond
+	// minTickInterval is the minimum interval between the ticks that follow events.
+	minTickInterval = 5 * time.Millisecond
 	// abandonAfter is how long the assigner's confirmations of its epoch must fail
 	// before it asks the other hosts to take over.
 	abandonAfter = 500 * time.Millisecond
@@ -92,6 +96,8 @@
 	followedEpoch  uint64 // epoch of the assigner heard last
 	assignerSilent bool   // the assigner did not answer the last sync request
 	outage         outage
+	responses      responses
+	tickedAt       time.Duration // when the machine last ticked
 
 	// confirmed is the time at which an assigner last confirmed the owner map to this
 	// host, in nanoseconds of Clock.
@@ -230,7 +236,10 @@
 			timer.Reset(c.tickTime())
 		}
 		now := c.cfg.Clock()
-		c.machine.Tick(now)
+		if now-c.tickedAt >= minTickInterval {
+			c.tickedAt = now
+			c.machine.Tick(now)
+		}
 		c.runActions(now)
 		c.updateRole(now)
 	}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -151,6 +151,7 @@
 		WaitMS:     int(syncWait.Milliseconds()),
 		ProbeRound: v.ProbeRound,
 		Hosts:      c.hostsVersion,
+		Compressed: true,
 	}
 	if v.Owners != nil {
 		q.body.Map = v.Owners.Version
@@ -176,7 +177,8 @@
 
 // sendSync sends one sync request and reports whether the leader answered it.
 func (c *Cluster) sendSync(q outgoingSync) bool {
-	ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
+	limit := syncTimeout + syncTimeoutPerHost*time.Duration(c.View().Hosts)
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
 	a, err := c.peers.Sync(ctx, q.to.Peer, &q.body)
 	if err != nil {
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
@@ -46,13 +45,21 @@
 	Admission  keyrange.Version `json:"admission"`
 	Report     assigner.Report  `json:"report"`
 	ProbeRound uint64           `json:"asked"` // last known probe round
+	// Compressed tells that this host reads compressed responses, which hosts of
+	// earlier versions do not.
+	Compressed bool `json:"compressed,omitempty"`
 	// WaitMS is how long the response may be delayed while there are no updates, in
 	// milliseconds.
 	WaitMS int `json:"wait"`
 }
 
-// SyncResponse holds what the responding host has that is newer.
+// SyncResponse holds what the responding host has that is newer. It is not changed once
+// it has been sent, and may be sent to several hosts.
 type SyncResponse struct {
+	// Compress is set if the requesting host reads compressed messages.
+	Compress bool `json:"-"`
+	encoded  encoded
+
 	Epoch    uint64        `json:"epoch"`
 	Assigner assigner.Host `json:"assigner"` // as known to the responding host
 	Leads    bool          `json:"leads"`    // the responding host is the assigner and may act as such
@@ -101,33 +108,6 @@
 	Relay(ctx context.Context, c *RelayRequest) (*RelayResponse, error)
 }
 
-// codec encodes messages as JSON and checks the decoded ones. If report is set, it is
-// called with each message that is invalid.
-type codec struct{ report func(error) }
-
-// Marshal implements drpc.Encoding.
-func (codec) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
-
-// Unmarshal implements drpc.Encoding.
-func (c codec) Unmarshal(buf []byte, msg drpc.Message) error {
-	err := decode(buf, msg)
-	if err != nil && c.report != nil {
-		c.report(err)
-	}
-	return err
-}
-
-// decode decodes and checks a message. Errors are of kind BadMessage.
-func decode(buf []byte, msg drpc.Message) error {
-	if err := json.Unmarshal(buf, msg); err != nil {
-		return fault.Wrap(fault.BadMessage, err, "decode a message of another host")
-	}
-	if m, ok := msg.(message); ok {
-		return m.validate()
-	}
-	return nil
-}
-
 // description registers Handler with a drpc mux.
 type description struct{ report func(error) }
 
