assigner: moves in proportion to the servers; a hot key is separated wherever it lies

Cause: a plan moved at most 6 ranges and waited while 10 were without a grant, at 20 servers as at 752. A hot key at the end of its range was never separated: the side with fewer keys was to move, it carried more than the other server's room, and the split was dropped. So the admission of hot keys did not see it.

Change: a plan may move one range for each 8 servers, and waits while the moves of two plans are without a grant. If the side that would move carries too much, the other one moves.

--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -13,7 +13,7 @@
 	if p.weights.requests < minLoadPerServer*float64(len(p.nodes)) || len(p.nodes) < 2 {
 		return
 	}
-	for range maxMovesPerPlan {
+	for range p.maxMoves() {
 		if !p.moveOne(now, p.mean) {
 			return
 		}
@@ -92,7 +92,8 @@
 }
 
 // splitAndAssign splits about amount of load off one end of a range, the end at which
-// fewer keys carry it, and assigns that part to n.
+// fewer keys carry it, and assigns that part to n. If one key at that end carries much
+// more, the other part is assigned to n.
 func (p *servicePlan) splitAndAssign(i int, n *node, amount float64) bool {
 	r := p.ranges[i]
 	if r.Width() < 2 {
@@ -109,7 +110,11 @@
 		keep, move = p.split(r, high)
 		n = p.neighbourOr(i+1, move.load, n)
 	}
-	if move.load <= 0 || move.load > 2*amount+1 && move.load > r.load*0.9 {
+	tooMuch := func(part planned) bool { return part.load > 2*amount+1 && part.load > r.load*0.9 }
+	if tooMuch(move) {
+		keep, move = move, keep
+	}
+	if move.load <= 0 || tooMuch(move) {
 		return false
 	}
 	p.assign(&move, n, CauseBalance)
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -17,11 +17,14 @@
 	// utilization exceeds overloadFactor times the mean.
 	minMoveIntervalOverloaded = 300 * time.Millisecond
 	overloadFactor            = 1.7
-	// maxMovesPerPlan bounds the moves for balance in one plan.
-	maxMovesPerPlan = 6
-	// maxUngrantedRanges is the number of ranges without a grant from which on a
-	// service is not balanced.
-	maxUngrantedRanges = 10
+	// movesPerPlan bounds the moves for balance in one plan: at least minMovesPerPlan,
+	// and one for each serversPerMove servers, so that a hot spot spreads in the same time
+	// over many servers as over few.
+	minMovesPerPlan = 6
+	serversPerMove  = 8
+	// ungrantedPlans is the number of plans whose moves may be without a grant; with
+	// more, a service is not balanced.
+	ungrantedPlans = 2
 	// imbalanceFactor is the utilization relative to the mean above which a server's
 	// load is reduced.
 	imbalanceFactor = 1.25
@@ -48,6 +51,9 @@
 	orphanPieces = 3
 )
 
+// maxMoves returns the number of moves for balance that the plan may contain.
+func (p *servicePlan) maxMoves() int { return max(minMovesPerPlan, len(p.nodes)/serversPerMove) }
+
 // node is a backend server in a plan.
 type node struct {
 	holder   keyrange.Holder
@@ -99,7 +105,7 @@
 			continue
 		}
 		p.assignOrphans()
-		if m.ungrantedRanges(name) < maxUngrantedRanges {
+		if m.ungrantedRanges(name) < ungrantedPlans*p.maxMoves() {
 			p.balance(now)
 			p.absorb(now)
 			p.join()
--- a/assigner/plan_test.go
+++ b/assigner/plan_test.go
@@ -127,7 +127,7 @@
 // Almost half of the requests go to 60 neighbouring keys. With the baseline, an even
 // split that never moves, one server gets all of them.
 func TestHotNeighboursAreSpread(t *testing.T) {
-	for _, servers := range []int{20, 140} {
+	for _, servers := range []int{20, 140, 752} {
 		c := newTestLeader(servers, equalSlots)
 		hot := hotNeighbours(1)
 		c.run(time.Second)
@@ -140,10 +140,38 @@
 	}
 }
 
+// One key gets much of the traffic. Within 1.5 s it has a range of its own, wherever it
+// lies in the range that it was in, so that no other key shares its overloaded owner's
+// room for long and the requests for it can be limited.
+func TestHotKeyIsSeparated(t *testing.T) {
+	for _, servers := range []int{20, 158, 752} {
+		for _, position := range []string{"first", "middle", "last"} {
+			for _, share := range []float64{0.1, 0.4} {
+				t.Run(fmt.Sprintf("%s of a range, %d servers, %.1f of the traffic", position, servers, share), func(t *testing.T) {
+					c := newTestLeader(servers, equalSlots)
+					r := rand.New(rand.NewPCG(3, 4))
+					even := func() keyrange.Key { return keyrange.Key(r.IntN(keyrange.KeyCount)) }
+					c.run(time.Second)
+					c.load(time.Second, servers*7, even)
+					in := c.m.currentMap().Table("stock").Find(30000)
+					hot := map[string]keyrange.Key{"first": in.From, "middle": (in.From + in.To) / 2, "last": in.To}[position]
+					c.load(1500*time.Millisecond, servers*7, func() keyrange.Key {
+						if r.Float64() < share {
+							return hot
+						}
+						return even()
+					})
+					require.Equal(t, 1, c.m.currentMap().Table("stock").Find(hot).Width())
+				})
+			}
+		}
+	}
+}
+
 // The busiest server carries less than 1.3 times the mean two seconds after the load
 // has become concentrated.
 func TestBusiestServerTarget(t *testing.T) {
-	for _, servers := range []int{20, 140} {
+	for _, servers := range []int{20, 140, 752} {
 		c := newTestLeader(servers, equalSlots)
 		hot := hotNeighbours(1)
 		c.run(time.Second)
