--- a/soak/faults.go
+++ b/soak/faults.go
@@ -46,6 +46,7 @@
 	{"server crash", 3, serverCrash},
 	{"server drain", 2, serverDrain},
 	{"server's connections", 3, disturbServer},
+	{"server's responses", 3, misbehave},
 }
 
 // runFaults starts faults for the configured length and waits until all have ended.
@@ -194,6 +195,18 @@
 	w.disturbConnections(s.proxy, "callers of "+s.id, s.id, target/7, d)
 }
 
+// misbehave makes a backend server answer the requests that it runs in a wrong way.
+func misbehave(w *world, target int, d time.Duration) {
+	s := w.server(target)
+	m := platformtest.Misbehaviours[(target/7)%len(platformtest.Misbehaviours)]
+	backend := s.currentBackend()
+	if backend == nil {
+		return
+	}
+	w.logEvent("%s: %s for %v", s.id, m, d.Round(time.Millisecond))
+	w.withFault(s.id, d, func() { backend.SetMisbehaviour(m) }, func() { backend.SetMisbehaviour(platformtest.WellBehaved) })
+}
+
 // storeFaults are the store faults that affect all hosts.
 var storeFaults = []platformtest.Fault{platformtest.Down, platformtest.Busy, platformtest.Silent, platformtest.LostAnswer}
 
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -89,6 +89,7 @@
 	}
 	s.w.ledger.removeBackend(backend)
 	_ = server.Close() // closes its connections too
+	backend.CloseConns()
 }
 
 // drain publishes that the server is draining. The server goes on serving.
