--- a/assigner/admission.go
+++ b/assigner/admission.go
@@ -1,8 +1,10 @@
 package assigner
 
 import (
+	"cmp"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
@@ -153,12 +155,20 @@
 	}
 	a.decidedAt = now
 	a.decay(now)
-	for _, f := range a.keys {
+	for _, k := range a.sortedKeys() {
+		f := a.keys[k]
 		f.decide(a.server(f.owner), capacity(f.owner))
 	}
 	return true
 }
 
+// sortedKeys returns the keys in order, so that decisions do not depend on that of a map.
+func (a *admission) sortedKeys() []HotKey {
+	return slices.SortedFunc(maps.Keys(a.keys), func(x, y HotKey) int {
+		return cmp.Or(cmp.Compare(x.Key, y.Key), cmp.Compare(x.Service, y.Service))
+	})
+}
+
 // decide sets the admitted rate from what the owner does: while it rejects requests, what
 // it answers is what it can serve; while it does not, it may have room for more.
 func (f *keyFlow) decide(owner *serverFlow, capacity float64) {
@@ -188,17 +198,11 @@
 // limits returns the present limits, sorted by key.
 func (a *admission) limits() []AdmissionLimit {
 	var out []AdmissionLimit
-	for k, f := range a.keys {
-		if f.rate > 0 {
+	for _, k := range a.sortedKeys() {
+		if f := a.keys[k]; f.rate > 0 {
 			out = append(out, AdmissionLimit{HotKey: k, Share: min(f.rate/perSecond(f.offered), 1)})
 		}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Key != out[j].Key {
-			return out[i].Key < out[j].Key
-		}
-		return out[i].Service < out[j].Service
-	})
 	return out
 }
 
--- a/cluster/responses.go
+++ b/cluster/responses.go
@@ -32,6 +32,9 @@
 	return responseKey{q.Map, q.Servers, q.Admission, q.Config, q.Hosts, q.ProbeRound, q.Compressed}
 }
 
+// maxResponses bounds the responses that are kept.
+const maxResponses = 500
+
 // responses keeps the responses of the present state. After a change hundreds of hosts
 // ask for what is new, most of them from the same versions on: what they get is built
 // and encoded once.
@@ -41,7 +44,7 @@
 }
 
 func (r *responses) get(s responseState, k responseKey, build func() *hostlink.SyncResponse) *hostlink.SyncResponse {
-	if r.byKey == nil || r.state != s {
+	if r.byKey == nil || r.state != s || len(r.byKey) >= maxResponses {
 		r.state = s
 		r.byKey = map[responseKey]*hostlink.SyncResponse{}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,16 +117,6 @@
 	f.Hosts[i].Loop.Stop()
 }
 
-// SetIsolated blocks or unblocks messages between host i and every other host.
-func (f *Fleet) SetIsolated(i int, on bool) {
-	for j, other := range f.Hosts {
-		if j != i {
-			f.Net.SetBlocked(f.Hosts[i].addr, other.addr, on)
-			f.Net.SetBlocked(other.addr, f.Hosts[i].addr, on)
-		}
-	}
-}
-
 // Stop stops every host.
 func (f *Fleet) Stop() {
 	for _, h := range f.Hosts {
--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -64,10 +64,9 @@
 
 // Config holds a server's identity and traits.
 type Config struct {
-	ID          string
-	ServiceTime time.Duration // how long a request takes; sets Traits.ServiceMS
-	EchoID      bool          // sets Traits.EchoID
-	Traits      Traits
+	ID     string
+	EchoID bool // sets Traits.EchoID
+	Traits Traits
 }
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -94,9 +93,6 @@
 // New returns a server that is not listening; it may be used as a handler.
 func New(cfg Config) *Server {
 	traits := cfg.Traits
-	if cfg.ServiceTime > 0 {
-		traits.ServiceMS = float64(cfg.ServiceTime) / float64(time.Millisecond)
-	}
 	traits.EchoID = traits.EchoID || cfg.EchoID
 	return &Server{
 		id:            cfg.ID,
--- a/trial/deployment.go
+++ b/trial/deployment.go
@@ -31,9 +31,6 @@
 	retention        = time.Hour
 	// serverQueue is the number of requests that may wait for a slot at a backend server.
 	serverQueue = 64
-	// checkGrants enables grant checks at the servers of services that declare
-	// them. The entry hosts must renew grants.
-	checkGrants = true
 )
 
 // server is one backend stand-in with its service and its declaration.
@@ -91,7 +88,6 @@
 	d.profiles = map[string]profile.Profile{}
 	mux := http.NewServeMux()
 	for _, service := range services {
-		service.ChecksGrants = service.ChecksGrants && checkGrants
 		d.profiles[service.Name] = byName[service.Profile]
 		for i := range service.Servers {
 			s, err := d.startServer(service, service.Servers[i])
