assigner: with hundreds of hosts, claim before every host reads the store

Cause: above 60 hosts each added 4 ms to the wait before a claim, since the assigner could not answer them all in time. At 295 hosts a claim came 1.54 s after the last word, later than the 1.4 s after which each host loads the directory itself.

Failed first: TestTakeoverOfManyHostsReadsTheStoreLittle (221 of 295 hosts loaded the directory, now below 29).

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -97,7 +97,7 @@
 	publishIntervalHosts = 60
 	// extraHostDelay is added to the delay before a claim for each host above
 	// publishIntervalHosts.
-	extraHostDelay = 4 * time.Millisecond
+	extraHostDelay = 1500 * time.Microsecond
 )
 
 // MaxGrantDelay bounds the time from the decision to grant to the last moment at
--- a/cluster/restart_test.go
+++ b/cluster/restart_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -180,3 +182,22 @@
 		require.Zero(t, w.watch(time.Second))
 	})
 }
+
+// When the assigner of hundreds of hosts is lost, another one takes over before the hosts
+// read the backend servers' entries themselves.
+func TestTakeoverOfManyHostsReadsTheStoreLittle(t *testing.T) {
+	const hosts = 295
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6)
+		defer w.stop()
+		for i := range hosts {
+			w.addHost(fmt.Sprintf("h%d", i))
+		}
+		w.watch(startTime)
+		w.store.takeReaders()
+		w.kill(w.leaders()[0])
+		w.watch(settleTime)
+		require.Len(t, w.leaders(), 1)
+		require.Less(t, w.store.takeReaders(), hosts/10)
+	})
+}
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -39,15 +39,25 @@
 	gapUntil uint64          // server records below this offset have been deleted
 	// assignmentGap is the same for assignments; the newest record is kept.
 	assignmentGap uint64
-	timeouts      int           // number of server reads that will get no answer
-	calls         int           // number of calls made
-	slow          time.Duration // added latency of every answer
-	silent        bool          // no call is answered or executed
+	timeouts      int             // number of server reads that will get no answer
+	calls         int             // number of calls made
+	readers       map[string]bool // hosts that loaded the directory since takeReaders
+	slow          time.Duration   // added latency of every answer
+	silent        bool            // no call is answered or executed
 	// lost makes appends end without an answer; they are executed after late.
 	lost bool
 	late time.Duration
 }
 
+// takeReaders returns how many hosts have loaded the directory since it was called last.
+func (s *fakeStore) takeReaders() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.readers)
+	clear(s.readers)
+	return n
+}
+
 // storeOf is the store as seen by one host.
 type storeOf struct {
 	*fakeStore
@@ -129,6 +139,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.readers[s.host] = true
 	newest := map[string]directory.Change{}
 	for _, c := range s.servers {
 		newest[c.ID] = c
@@ -256,7 +267,7 @@
 func newWorld(t *testing.T, servers int) *world {
 	w := &world{
 		t:      t,
-		store:  &fakeStore{cut: map[string]bool{}},
+		store:  &fakeStore{cut: map[string]bool{}, readers: map[string]bool{}},
 		hosts:  map[string]*Cluster{},
 		cutOff: map[string]bool{},
 		silent: map[link]bool{},
