--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -170,7 +170,8 @@
 // NewPool returns a pool without connections.
 func NewPool() *Pool { return &Pool{idle: map[string][]*drpcconn.Conn{}} }
 
-// Sync requests what the host at addr has that is newer.
+// Sync requests what the host at addr has that is newer. An error of kind BadMessage means
+// that its response is invalid.
 func (p *Pool) Sync(ctx context.Context, addr string, q *SyncRequest) (*SyncResponse, error) {
 	out := &SyncResponse{}
 	if err := p.invoke(ctx, addr, syncMethod, q, out); err != nil {
@@ -208,6 +209,9 @@
 	}
 	if err := conn.Invoke(ctx, method, codec{}, in, out); err != nil {
 		_ = conn.Close() // the caller gets the error of the call
+		if fault.KindOf(err) == fault.BadMessage {
+			return err
+		}
 		return fault.Wrap(fault.PeerUnavailable, err, "call an entry host")
 	}
 	p.putIdle(addr, conn)
--- a/hostlink/validate_test.go
+++ b/hostlink/validate_test.go
@@ -214,6 +214,16 @@
 	require.NoError(t, err)
 }
 
+// An invalid response is told apart from a host that does not answer.
+func TestInvalidResponse(t *testing.T) {
+	h := &fakeHandler{sync: func(*SyncRequest) (*SyncResponse, error) {
+		return &SyncResponse{Suspects: []assigner.Suspect{{}}}, nil
+	}}
+	pool, addr, _ := serve(t, h)
+	_, err := pool.Sync(t.Context(), addr, validSync())
+	require.Equal(t, fault.BadMessage, fault.KindOf(err))
+}
+
 // Bytes that are not of the protocol do not disturb the connections of others.
 func TestBytesOfAnotherProtocol(t *testing.T) {
 	h := &fakeHandler{sync: func(*SyncRequest) (*SyncResponse, error) { return &SyncResponse{}, nil }}
