edge: a planned stop answers requests that arrive while it closes connections

Cause: when no request was active the callers' server was shut down within 100 ms. A request that began just before was cut off after 100 ms; one that arrived meanwhile on a connection that was just accepted was read and its connection closed without an answer (net/http does so once a shutdown has begun).

Change: idle connections are closed first while the server goes on answering; it is shut down once no request has been active for 100 ms, and requests that began in between are completed, within the grace period.

Failed first: TestShutdownAnswersWhatItAccepted, in which http.Server.Shutdown with 100 ms stops at the first row (a request that is active).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -41,9 +41,6 @@
 	// refuseMargin is how long before the kill new requests start to be refused.
 	refuseMargin     = 2 * time.Second
 	stopPollInterval = 10 * time.Millisecond
-	// shutdownTimeout bounds the shutdown of the callers' server, which closes idle
-	// connections.
-	shutdownTimeout = 100 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply while no configuration is
 	// known.
 	defaultHeaderTimeout = 3 * time.Second
@@ -266,9 +263,8 @@
 	h.cluster.Resign()
 	time.Sleep(min(balancerDelay, h.opts.StopGrace/2))
 	h.finishRequests(begin)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := h.traffic.Shutdown(ctx); err != nil {
+	left := h.opts.StopGrace - stopMargin - time.Since(begin)
+	if err := shutdown(h.traffic, h.gateway.Active, left); err != nil {
 		h.logEvent(event.ConnectionsLeft{Active: h.gateway.Active(), Error: err.Error()})
 	}
 	h.stop()
