assigner: a plan finds the state of each range in order, and has a bound on its moves

A plan looked up the state of each of 9,000 ranges from the first on, and could make 375 moves. Now the states are taken in order, and a plan makes at most 100 moves.

--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -17,11 +17,12 @@
 	// utilization exceeds overloadFactor times the mean.
 	minMoveIntervalOverloaded = 300 * time.Millisecond
 	overloadFactor            = 1.7
-	// movesPerPlan bounds the moves for balance in one plan: at least minMovesPerPlan,
-	// and one for each serversPerMove servers, so that a hot spot spreads in the same time
-	// over many servers as over few.
+	// A plan contains at least minMovesPerPlan moves for balance, and one for each
+	// serversPerMove servers, so that a hot spot spreads in the same time over many
+	// servers as over few. maxMovesPerPlan bounds the time that a plan takes.
 	minMovesPerPlan = 6
 	serversPerMove  = 8
+	maxMovesPerPlan = 100
 	// ungrantedPlans is the number of plans whose moves may be without a grant; with
 	// more, a service is not balanced.
 	ungrantedPlans = 2
@@ -52,7 +53,9 @@
 )
 
 // maxMoves returns the number of moves for balance that the plan may contain.
-func (p *servicePlan) maxMoves() int { return max(minMovesPerPlan, len(p.nodes)/serversPerMove) }
+func (p *servicePlan) maxMoves() int {
+	return min(max(minMovesPerPlan, len(p.nodes)/serversPerMove), maxMovesPerPlan)
+}
 
 // node is a backend server in a plan.
 type node struct {
@@ -201,19 +204,26 @@
 	if len(ranges) == 0 {
 		ranges = []keyrange.Range{{From: 0, To: keyrange.MaxKey}}
 	}
-	for _, r := range ranges {
-		p.addRange(r, m.stateOf(name, r.From))
+	states := m.statesOf(name)
+	for i, r := range ranges {
+		var state *rangeState
+		if i < len(states) {
+			state = states[i]
+		}
+		p.addRange(r, state)
 	}
 	return p
 }
 
-func (m *Machine) stateOf(service string, k keyrange.Key) *rangeState {
+// statesOf returns the states of a service's ranges, in the order of tableOf.
+func (m *Machine) statesOf(service string) []*rangeState {
+	var out []*rangeState
 	for _, r := range m.ranges {
-		if r.service == service && r.Contains(k) {
-			return r
+		if r.service == service {
+			out = append(out, r)
 		}
 	}
-	return nil
+	return out
 }
 
 func (p *servicePlan) addRange(r keyrange.Range, s *rangeState) {
--- a/assigner/plan_test.go
+++ b/assigner/plan_test.go
@@ -279,7 +279,7 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, servers := range []int{23, 188} {
+	for _, servers := range []int{23, 188, 752, 3001} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			r := rand.New(rand.NewPCG(1, 2))
 			c := newTestLeader(servers, equalSlots)
