edge: a stopping host refuses requests that arrive late

Trace: SIGTERM at 24.200 s, a booking was accepted on a kept connection at 28.065 s, 3.9 s after it, the server worked on it for more than 1.8 s, and the grace period ended. New requests were refused only 2 s before the end of the grace period.

Change: they are refused 0.5 s after the load balancer has stopped sending connections, 2.8 s after the signal; the caller is told to come back and reaches another host. Failed first: TestStoppingHostRefusesLateRequests (4 s at a grace period of 6 s, bound 3 s).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,8 +38,9 @@
 	// balancerDelay is how long the load balancer may still send new connections
 	// to a host after its readiness check fails.
 	balancerDelay = 2300 * time.Millisecond
-	// refuseMargin is how long before the kill new requests start to be refused.
-	refuseMargin     = 2 * time.Second
+	// lateArrivals is how long after balancerDelay requests on connections that callers
+	// kept open are still accepted.
+	lateArrivals     = 500 * time.Millisecond
 	stopPollInterval = 10 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply while no configuration is
 	// known.
@@ -261,7 +262,7 @@
 	h.logEvent(event.StopBegun{Active: h.gateway.Active()})
 	h.gateway.Stop()
 	h.cluster.Resign()
-	time.Sleep(min(balancerDelay, h.opts.StopGrace/2))
+	time.Sleep(h.opts.balancerDelay())
 	h.finishRequests(begin)
 	left := h.opts.StopGrace - stopMargin - time.Since(begin)
 	if err := shutdown(h.traffic, h.gateway.Active, left); err != nil {
@@ -277,15 +278,22 @@
 	return nil
 }
 
-// finishRequests waits until no requests are active. Close to the end of the grace
-// period it starts to refuse new ones.
+// balancerDelay returns how long a stopping host goes on as before.
+func (o Options) balancerDelay() time.Duration { return min(balancerDelay, o.StopGrace/2) }
+
+// rejectAfter returns when a stopping host starts to refuse new requests. A request that
+// it accepts must end within the grace period, also at a slow backend server; one that it
+// refuses can be sent to another host at once.
+func (o Options) rejectAfter() time.Duration { return o.balancerDelay() + lateArrivals }
+
+// finishRequests waits until no requests are active. After a while it refuses new ones.
 func (h *Host) finishRequests(begin time.Time) {
 	for {
 		spent := time.Since(begin)
 		if h.gateway.Active() == 0 || spent > h.opts.StopGrace-stopMargin {
 			return
 		}
-		if spent > h.opts.StopGrace-refuseMargin {
+		if spent > h.opts.rejectAfter() {
 			h.gateway.RejectNew()
 		}
 		time.Sleep(stopPollInterval)
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -119,3 +119,17 @@
 		time.Sleep(workTime) // the handler returns
 	})
 }
+
+// acceptTime is how long after the stop signal a host may accept requests that it might not
+// complete within the grace period.
+const acceptTime = 3 * time.Second
+
+// A stopping host accepts requests until the load balancer sends none any more, and
+// refuses them soon after that.
+func TestStoppingHostRefusesLateRequests(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		o := Options{StopGrace: grace}
+		require.LessOrEqual(t, o.rejectAfter(), acceptTime)
+		require.GreaterOrEqual(t, o.rejectAfter(), min(balancerDelay, grace/2))
+	}
+}
