--- a/routing/forward_test.go
+++ b/routing/forward_test.go
@@ -99,27 +99,32 @@
 	for _, k := range requestCases {
 		t.Run(k.name, func(t *testing.T) {
 			t.Parallel()
-			s := newFaultServer(t, false)
-			hosts := newHosts(t, 2, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true})
-			hosts[0].loseLease()
-			order := nextOrder()
-			outcome, body := k.call(t, hosts[0].fixture, order)
-			k.checkOutcome(t, s, pointNone, order, outcome, body)
-
-			s.arm(pointLastByte)
-			order = nextOrder()
-			outcome, body = k.call(t, hosts[0].fixture, order)
-			k.checkOutcome(t, s, pointLastByte, order, outcome, body)
-
-			hosts[1].loseLease()
-			order = nextOrder()
-			outcome, _ = k.call(t, hosts[0].fixture, order)
-			require.Equal(t, fault.NotRun, outcome, "a forwarded request is not forwarded again")
-			require.Zero(t, s.runs(order))
+			synctest.Test(t, func(t *testing.T) { forwardOnce(t, k) })
 		})
 	}
 }
 
+func forwardOnce(t *testing.T, k requestCase) {
+	network := pipenet.New()
+	s := newFaultServerOn(t, network, false)
+	hosts := newHosts(t, 2, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true, network: network})
+	hosts[0].loseLease()
+	order := nextOrder()
+	outcome, body := k.call(t, hosts[0].fixture, order)
+	k.checkOutcome(t, s, pointNone, order, outcome, body)
+
+	s.arm(pointLastByte)
+	order = nextOrder()
+	outcome, body = k.call(t, hosts[0].fixture, order)
+	k.checkOutcome(t, s, pointLastByte, order, outcome, body)
+
+	hosts[1].loseLease()
+	order = nextOrder()
+	outcome, _ = k.call(t, hosts[0].fixture, order)
+	require.Equal(t, fault.NotRun, outcome, "a forwarded request is not forwarded again")
+	require.Zero(t, s.runs(order))
+}
+
 func TestForwardedLongAnswersAndUnreachablePeers(t *testing.T) {
 	const size = 300 << 10
 	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -187,9 +192,12 @@
 	return fault.Outcome(resp.Header.Get(HeaderOutcome)), string(text)
 }
 
-func TestDuplicateOrdersAcrossHosts(t *testing.T) {
-	s := newFaultServer(t, false)
-	hosts := newHosts(t, 4, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true})
+func TestDuplicateOrdersAcrossHosts(t *testing.T) { synctest.Test(t, testDuplicateOrders) }
+
+func testDuplicateOrders(t *testing.T) {
+	network := pipenet.New()
+	s := newFaultServerOn(t, network, false)
+	hosts := newHosts(t, 4, fixtureOptions{addr: s.addr(), profile: testProfile(), echoes: true, network: network})
 	outcome, first := orderWithID(t, hosts[0], "answered", "a")
 	require.Equal(t, fault.Answered, outcome)
 	for _, h := range hosts {
