edge, gateway: log when a stop refuses, closes idle connections and cuts requests off

In the record nothing is logged between the stop signal and the end, so whether the host refused, whether it closed connections and which requests it cut off could not be told apart. Each has a line now; a request that gets no answer is named by its id.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -264,9 +264,11 @@
 	h.cluster.Resign()
 	time.Sleep(h.opts.balancerDelay())
 	h.finishRequests(begin)
+	h.logEvent(event.IdleClosed{AfterMS: event.Millis(time.Since(begin)), Active: h.gateway.Active()})
 	left := h.opts.StopGrace - stopMargin - time.Since(begin)
 	if err := shutdown(h.traffic, h.gateway.Active, left); err != nil {
 		h.logEvent(event.ConnectionsLeft{Active: h.gateway.Active(), Error: err.Error()})
+		h.gateway.LogCutOff()
 	}
 	h.stop()
 	h.cluster.Stop()
@@ -293,8 +295,8 @@
 		if h.gateway.Active() == 0 || spent > h.opts.StopGrace-stopMargin {
 			return
 		}
-		if spent > h.opts.rejectAfter() {
-			h.gateway.RejectNew()
+		if spent > h.opts.rejectAfter() && h.gateway.RejectNew() {
+			h.logEvent(event.RefusalBegun{AfterMS: event.Millis(spent), Active: h.gateway.Active()})
 		}
 		time.Sleep(stopPollInterval)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -47,6 +47,8 @@
 var kinds = []kind{
 	row[HostStarted](infoLevel, "edge: started"),
 	row[StopBegun](infoLevel, "edge: planned stop begins"),
+	row[RefusalBegun](infoLevel, "edge: new requests are refused"),
+	row[IdleClosed](infoLevel, "edge: idle connections are closed"),
 	row[ConnectionsLeft](warnLevel, "edge: connections were still open at the end"),
 	row[HostStopped](infoLevel, "edge: stopped"),
 	row[SettingsReloaded](infoLevel, "edge: settings reloaded"),
@@ -62,6 +64,7 @@
 	row[RequestRefused](infoLevel, "gateway: request not answered"),
 	row[CallerLeft](infoLevel, "gateway: caller left"),
 	row[AnswerBroken](warnLevel, "gateway: answer broken off"),
+	row[RequestCutOff](warnLevel, "gateway: request cut off by the end of the process"),
 	row[RetryBudgetExhausted](warnLevel, "gateway: budget of second tries spent"),
 
 	row[RoleChanged](infoLevel, "cluster: role changed"),
--- a/event/host.go
+++ b/event/host.go
@@ -24,6 +24,29 @@
 	return fmt.Sprintf("planned stop begins with %d active requests", e.Active)
 }
 
+// RefusalBegun records that a stopping host refuses new requests from now on.
+type RefusalBegun struct {
+	AfterMS float64 `json:"after_ms"` // since the stop signal
+	Active  int64   `json:"active"`   // active requests, which are completed
+}
+
+// Text implements Event.
+func (e RefusalBegun) Text() string {
+	return fmt.Sprintf("new requests are refused, %.0f ms after the stop signal; %d are active", e.AfterMS, e.Active)
+}
+
+// IdleClosed records that a stopping host begins to close callers' connections without
+// a request.
+type IdleClosed struct {
+	AfterMS float64 `json:"after_ms"` // since the stop signal
+	Active  int64   `json:"active"`
+}
+
+// Text implements Event.
+func (e IdleClosed) Text() string {
+	return fmt.Sprintf("idle connections of callers are closed, %.0f ms after the stop signal; %d requests are active", e.AfterMS, e.Active)
+}
+
 // ConnectionsLeft records that callers' connections were still open at the end of a
 // stop.
 type ConnectionsLeft struct {
--- a/event/request.go
+++ b/event/request.go
@@ -216,6 +216,18 @@
 	return fmt.Sprintf("response of %s interrupted after %d bytes and %.0f ms: %s", e.Server, e.Bytes, e.AfterMS, e.Error)
 }
 
+// RequestCutOff records that the process ended while a request was active: its caller
+// gets neither an answer nor a refusal.
+type RequestCutOff struct {
+	Request string  `json:"request"`
+	AfterMS float64 `json:"after_ms"` // since its arrival
+}
+
+// Text implements Event.
+func (e RequestCutOff) Text() string {
+	return fmt.Sprintf("cut off without an answer after %.0f ms: the process ended", e.AfterMS)
+}
+
 // RetryBudgetExhausted records that the retries of a service have used up this host's
 // budget. It is written once per window of the budget.
 type RetryBudgetExhausted struct {
--- /dev/null
+++ b/gateway/active.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+)
+
+// activeRequests is the set of the requests that are neither answered nor refused.
+type activeRequests struct {
+	mu  sync.Mutex
+	all map[*request]struct{}
+}
+
+func newActiveRequests() *activeRequests {
+	return &activeRequests{all: map[*request]struct{}{}}
+}
+
+func (a *activeRequests) add(q *request) {
+	a.mu.Lock()
+	a.all[q] = struct{}{}
+	a.mu.Unlock()
+}
+
+func (a *activeRequests) remove(q *request) {
+	a.mu.Lock()
+	delete(a.all, q)
+	a.mu.Unlock()
+}
+
+func (a *activeRequests) count() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int64(len(a.all))
+}
+
+// cutOff describes the active requests. It reads only fields that don't change while
+// a request is active.
+func (a *activeRequests) cutOff(now time.Time) []event.RequestCutOff {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]event.RequestCutOff, 0, len(a.all))
+	for q := range a.all {
+		out = append(out, event.RequestCutOff{Request: q.id, AfterMS: event.Millis(now.Sub(q.arrived))})
+	}
+	return out
+}
+
+// Active returns the number of requests in flight.
+func (g *Gateway) Active() int64 { return g.active.count() }
+
+// LogCutOff logs each request that is in flight, as the process ends without having
+// answered it.
+func (g *Gateway) LogCutOff() {
+	for _, e := range g.active.cutOff(time.Now()) {
+		g.Metrics.count("cut_off")
+		g.writeEvent(e)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 
 	stopping atomic.Bool
 	closed   atomic.Bool // new requests are rejected
-	active   atomic.Int64
+	active   *activeRequests
 }
 
 // New returns a gateway that routes by the views of control.
@@ -88,6 +88,7 @@
 		split:   newSplitter(),
 		Metrics: newMetrics(),
 		budgets: map[string]*budget{},
+		active:  newActiveRequests(),
 		started: time.Now(),
 	}
 }
@@ -96,15 +97,13 @@
 // and Ready return false.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
-// RejectNew makes the gateway reject new requests. Requests in flight are not affected.
-func (g *Gateway) RejectNew() { g.closed.Store(true) }
+// RejectNew makes the gateway reject new requests, and reports whether it accepted them
+// before. Requests in flight are not affected.
+func (g *Gateway) RejectNew() bool { return g.closed.CompareAndSwap(false, true) }
 
 // CloseIdle closes the idle connections to backend servers.
 func (g *Gateway) CloseIdle() { g.servers.close() }
 
-// Active returns the number of requests in flight.
-func (g *Gateway) Active() int64 { return g.active.Load() }
-
 // Ready reports whether requests can be routed.
 func (g *Gateway) Ready() bool {
 	v := g.control.View()
@@ -117,10 +116,10 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
-	q, err := g.accept(r)
-	if err != nil {
+	q := g.newRequest(r)
+	g.active.add(q)
+	defer g.active.remove(q)
+	if err := g.accept(q); err != nil {
 		g.refuse(w, q, err)
 		return
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,36 +75,41 @@
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
-// accept matches a request to its route and reads its body. It returns the request
-// also with an error, as the error response and the log need it.
-func (g *Gateway) accept(r *http.Request) (*request, error) {
+// newRequest returns the state of a request that has just arrived.
+func (g *Gateway) newRequest(r *http.Request) *request {
 	q := &request{in: r, id: r.Header.Get(g.cfg.Headers.RequestID), arrived: time.Now()}
 	q.queuedAt = q.arrived
 	q.sampled = sampled(q.id)
+	return q
+}
+
+// accept matches a request to its route and reads its body.
+func (g *Gateway) accept(q *request) error {
+	r := q.in
 	view := g.control.View()
 	if g.closed.Load() {
-		return q, fault.New(fault.NotReady, "this host is stopping")
+		return fault.New(fault.NotReady, "this host is stopping")
 	}
 	if view.Routes == nil {
-		return q, fault.New(fault.NotReady, "no configuration has been received yet")
+		return fault.New(fault.NotReady, "no configuration has been received yet")
 	}
 	q.config = view.Routes.Version
 	q.uri = requestURI(r)
 	path, _, _ := strings.Cut(q.uri, "?")
 	q.route = view.Routes.Match(r.Host, path)
 	if q.route == nil {
-		return q, fault.Newf(fault.NoService, "no route of version %d matches %s%s", view.Routes.Version, r.Host, path)
+		return fault.Newf(fault.NoService, "no route of version %d matches %s%s", view.Routes.Version, r.Host, path)
 	}
 	name := g.split.pick(q.route)
 	q.service = view.Routes.Service(name)
 	if q.service == nil {
-		return q, fault.Newf(fault.NotReady, "the configuration does not declare the service %q", name)
+		return fault.Newf(fault.NotReady, "the configuration does not declare the service %q", name)
 	}
 	if err := g.readKey(q); err != nil {
-		return q, err
+		return err
 	}
 	if err := q.readBody(view.Routes.Limits.BodyBytes); err != nil {
-		return q, err
+		return err
 	}
 	g.setDeadline(q)
 	q.header = endToEnd(r.Header, g.cfg.Headers.Deadline, g.cfg.Headers.Expected)
@@ -113,7 +118,7 @@
 		g.control.AddLoad(name, q.key)
 	}
 	g.recordAccepted(q)
-	return q, nil
+	return nil
 }
 
 // requestURI returns the path and query unchanged, as the caller sent them.
--- a/requestlog/findings.go
+++ b/requestlog/findings.go
@@ -40,6 +40,8 @@
 			return fmt.Sprintf("It is not known whether the request ran (status %d); only the servers that it was sent to can tell.", e.Status)
 		case event.CallerLeft:
 			return "The caller disconnected before the answer."
+		case event.RequestCutOff:
+			return "The host's process ended without an answer to the request; only the servers that it was sent to can tell whether it ran."
 		case event.AnswerBroken:
 			return fmt.Sprintf("The request ran at %s; its answer was broken off.", e.Server)
 		}
--- a/requestlog/requestlog_test.go
+++ b/requestlog/requestlog_test.go
@@ -129,6 +129,7 @@
 		{event.RequestAnswered{Request: "r", Server: "s", Status: 500}, "ran at s, which answered that it failed"},
 		{event.CallerLeft{Request: "r"}, "caller disconnected"},
 		{event.AnswerBroken{Request: "r", Server: "s"}, "broken off"},
+		{event.RequestCutOff{Request: "r"}, "process ended without an answer"},
 		{event.RequestSent{Request: "r", Server: "s"}, "does not hold the request's end"},
 	}
 	for _, c := range cases {
