httpdrain: close a connection between two requests only

Callers saw a connection close without an answer 2.3 s after the stop signal, while their request ran. net/http counts a connection as idle until it has parsed the whole head of the next request; SetKeepAlivesEnabled(false) and Shutdown close such a connection under the request that is arriving, and the handler runs all the same.

Here a connection that is to end gets an expired read deadline, and its read reports the end only if no byte of a request has been read since the last response and none waits in the socket. Connections in the listener's backlog are accepted before it closes. Class: a state that another part keeps is taken for a fact (idle) although it lags behind.

--- /dev/null
+++ b/internal/httpdrain/conn_test.go
@@ -0,0 +1,178 @@
+package httpdrain
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
+)
+
+// tcpPair returns both ends of a connection, the accepted one wrapped.
+func tcpPair(t *testing.T) (caller net.Conn, accepted *conn) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	caller, err = net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	raw, err := lis.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = caller.Close() // the test has ended
+		_ = raw.Close()
+	})
+	return caller, &conn{Conn: raw, idle: true}
+}
+
+// A request that has arrived, but has not been read, when its idle connection is to be
+// closed is read, not dropped with the connection.
+func TestRequestThatArrivedOnAnEndingConnectionIsRead(t *testing.T) {
+	caller, c := tcpPair(t)
+	_, err := io.WriteString(caller, "GET")
+	require.NoError(t, err)
+	c.endIfIdleSince(time.Now())
+	var b [8]byte
+	n, err := c.Read(b[:])
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(b[:n]))
+	_, err = io.WriteString(caller, " / ")
+	require.NoError(t, err)
+	n, err = c.Read(b[:])
+	require.NoError(t, err)
+	require.Equal(t, " / ", string(b[:n]))
+}
+
+// A connection without a request ends; a deadline that net/http sets meanwhile doesn't
+// keep it open.
+func TestIdleConnectionEnds(t *testing.T) {
+	_, c := tcpPair(t)
+	c.endIfIdleSince(time.Now())
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	var b [8]byte
+	_, err := c.Read(b[:])
+	require.Equal(t, io.EOF, err)
+}
+
+func TestEndIfIdleSince(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name  string
+		idle  bool
+		since time.Time
+		limit time.Time
+		want  bool
+	}{
+		{"idle for long", true, now.Add(-time.Second), now, true},
+		{"just accepted", true, now, now.Add(-time.Millisecond), false},
+		{"with a request", false, now.Add(-time.Second), now, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer near.Close()
+			defer far.Close()
+			conn := &conn{Conn: near, idle: c.idle, since: c.since}
+			conn.endIfIdleSince(c.limit)
+			require.Equal(t, c.want, conn.isEnding())
+		})
+	}
+}
+
+// A connection that ends although a byte of a request arrives in the same moment goes on,
+// with the read deadline that net/http wants.
+func TestByteInTheMomentOfTheEndIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &conn{Conn: near, idle: true}
+		defer c.Close()
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+		go func() { _, _ = far.Write([]byte("x")) }() // the read shows it
+		synctest.Wait()
+		c.endIfIdleSince(time.Now())
+		var b [1]byte
+		n, err := c.Read(b[:])
+		require.NoError(t, err)
+		require.Equal(t, 1, n)
+		require.False(t, c.isEnding())
+		begin := time.Now()
+		_, err = c.Read(b[:])
+		require.True(t, isTimeout(err))
+		require.Equal(t, time.Second, time.Since(begin))
+	})
+}
+
+// lateListener accepts nothing until its deadline is set.
+type lateListener struct {
+	*net.TCPListener
+	closing chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closing
+	return l.TCPListener.Accept()
+}
+
+func (l *lateListener) SetDeadline(t time.Time) error {
+	err := l.TCPListener.SetDeadline(t)
+	close(l.closing)
+	return err
+}
+
+// Connections in the backlog of the listener are accepted and answered, not reset.
+func TestDrainAnswersTheBacklog(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	caller, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }))
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(&lateListener{lis.(*net.TCPListener), make(chan struct{})}) }()
+	for !s.isServing() {
+		time.Sleep(time.Millisecond)
+	}
+	require.Zero(t, s.Drain(t.Context()))
+	answer, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "Connection: close")
+	require.Contains(t, string(answer), "done")
+	require.Equal(t, http.ErrServerClosed, <-ended)
+}
+
+func (s *Server) isServing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served != nil
+}
+
+// A drain ends when its time is over, and tells what is left.
+func TestDrainIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipenet.New()
+		lis := network.Listen()
+		s := New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) }))
+		go func() { _ = s.Serve(lis) }() // returns with the drain
+		caller, err := network.Dial(t.Context(), "tcp", lis.Addr().String())
+		require.NoError(t, err)
+		defer caller.Close()
+		_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begin := time.Now()
+		require.Equal(t, 1, s.Drain(ctx))
+		require.Equal(t, time.Second, time.Since(begin))
+		require.NoError(t, s.Close())
+		time.Sleep(time.Minute) // the handler returns
+	})
+}
--- /dev/null
+++ b/internal/httpdrain/server.go
@@ -0,0 +1,205 @@
+// Package httpdrain serves HTTP/1 so that a planned stop closes a connection only
+// between two requests.
+//
+// net/http counts a connection as idle until it has parsed the whole head of the next
+// request. Its own shutdown closes idle connections under a request that is just
+// arriving, and the handler runs all the same: the request takes effect and its caller
+// gets no answer. Here a connection ends by itself, when a read finds that no byte of a
+// request has arrived.
+package httpdrain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// quietTime is how long a connection must have been without a request before it is
+	// closed. On a new connection the request follows soon.
+	quietTime = 100 * time.Millisecond
+	// acceptTail is how long a closing listener still accepts the connections in its
+	// backlog, which would be reset.
+	acceptTail   = 10 * time.Millisecond
+	pollInterval = 10 * time.Millisecond
+)
+
+// Server is an http.Server with a drain of its own. Create it with New.
+type Server struct {
+	// HTTP is the server that handles the requests. Its fields may be changed until
+	// Serve is called, except for Handler and ConnState.
+	HTTP *http.Server
+
+	mu       sync.Mutex // guards the following
+	conns    map[*conn]struct{}
+	listener net.Listener
+	draining bool          // connections are closed after their next response
+	closing  bool          // no new connections are accepted
+	served   chan struct{} // closed when Serve returns; nil until it is called
+}
+
+// New returns a server of handler that is not started.
+func New(handler http.Handler) *Server {
+	s := &Server{conns: map[*conn]struct{}{}}
+	s.HTTP = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.isDraining() {
+				w.Header().Set("Connection", "close")
+			}
+			handler.ServeHTTP(w, r)
+		}),
+		ConnState: s.track,
+	}
+	return s
+}
+
+// Serve accepts connections until Drain or Close is called, then it returns
+// http.ErrServerClosed. It may be called once.
+func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
+	s.mu.Lock()
+	s.listener, s.served = l, served
+	closing := s.closing
+	s.mu.Unlock()
+	if closing {
+		return http.ErrServerClosed
+	}
+	err := s.HTTP.Serve(&listener{Listener: l, server: s})
+	if s.isClosing() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// StopKeepAlive has each connection closed after its next response.
+func (s *Server) StopKeepAlive() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+}
+
+// CloseIdle ends the connections that have been without a request for a while.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := time.Now().Add(-quietTime)
+	for c := range s.conns {
+		c.endIfIdleSince(before)
+	}
+}
+
+// Drain accepts no new connections, answers the requests on those it has accepted, and
+// closes them. It returns the number of connections that are still open when ctx ends.
+func (s *Server) Drain(ctx context.Context) int {
+	s.StopKeepAlive()
+	s.stopAccepting()
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		s.CloseIdle()
+		left := s.open()
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return left
+		}
+	}
+}
+
+// Close closes the listener and every connection at once.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	return s.HTTP.Close()
+}
+
+// stopAccepting accepts what is in the listener's backlog and closes it.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	s.closing = true
+	l, served := s.listener, s.served
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	if !ok || d.SetDeadline(time.Now().Add(acceptTail)) != nil {
+		_ = l.Close() // Serve returns the error of a listener that was closed before
+	}
+	<-served
+	_ = l.Close() // net/http closes it, too
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+}
+
+// track follows the state that net/http gives a connection.
+func (s *Server) track(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.markIdle(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}
+}
+
+// listener registers the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. While the server closes, a timeout means that the
+// backlog is empty.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		if isTimeout(err) && l.server.isClosing() {
+			return nil, net.ErrClosed
+		}
+		return nil, err
+	}
+	c := &conn{Conn: raw, idle: true, since: time.Now()}
+	l.server.add(c)
+	return c, nil
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
