gateway: answer the requests that the end of a planned stop gives up

Requests that were in flight at the end of the grace period were cut off without an answer and without a line. CutOff ends them: what was not sent is refused as not run, the others are answered 504, and the log has a line for each. A request whose body ends after the host has begun to refuse is refused, too: it was not sent, and might not be answered in time. Requests that are refused from the start are no longer counted as active.

--- a/gateway/active.go
+++ b/gateway/active.go
@@ -50,6 +50,10 @@
 // Active returns the number of requests in flight.
 func (g *Gateway) Active() int64 { return g.active.count() }
 
+// CutOff ends the requests in flight: each is answered with what is known of it, that it
+// was not run or that its outcome is unknown. New requests must be rejected before.
+func (g *Gateway) CutOff() { g.end() }
+
 // LogCutOff logs each request that is in flight, as the process ends without having
 // answered it.
 func (g *Gateway) LogCutOff() {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -186,6 +186,7 @@
 	start := time.Now()
 	s.requestStarted()
 	a, err := s.conns.Do(q.ctx, g.outgoing(q, s))
+	err = q.cutOffError(err)
 	took := time.Since(start)
 	if err == nil {
 		err = g.classify(q, a)
@@ -205,6 +206,15 @@
 	return a, nil
 }
 
+// cutOffError returns the error of a request that the end of this process canceled, not
+// its caller; other errors are returned as they are.
+func (q *request) cutOffError(err error) error {
+	if err == nil || fault.KindOf(err) != fault.Canceled || q.in.Context().Err() != nil {
+		return err
+	}
+	return fault.Wrap(fault.Timeout, err, "this host stops and the server has not answered")
+}
+
 // mayHaveRun reports whether the server may have run a request whose send failed
 // with err.
 func mayHaveRun(err error) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -76,11 +77,16 @@
 	stopping atomic.Bool
 	closed   atomic.Bool // new requests are rejected
 	active   *activeRequests
+	ended    context.Context // ends with CutOff
+	end      context.CancelFunc
 }
 
 // New returns a gateway that routes by the views of control.
 func New(cfg Config, control Control, logger *zap.Logger) *Gateway {
+	ended, end := context.WithCancel(context.Background())
 	return &Gateway{
+		ended:   ended,
+		end:     end,
 		cfg:     cfg,
 		control: control,
 		logger:  logger.Named("gateway"),
@@ -116,7 +122,11 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := g.newRequest(r)
+	q := g.newRequest(w, r)
+	if g.closed.Load() {
+		g.refuse(w, q, errStopping())
+		return
+	}
 	g.active.add(q)
 	defer g.active.remove(q)
 	if err := g.accept(q); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,6 +26,7 @@
 // request is a caller's request and the state of its forwarding.
 type request struct {
 	in      *http.Request
+	out     http.ResponseWriter
 	id      string
 	route   *routetable.Route
 	service *routetable.Service
@@ -43,7 +44,7 @@
 	queuedAt time.Time // start of the present wait for an owner and the limiter
 	deadline time.Time // the earliest of the caller's, the route's and maxTimeout
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   func()
 
 	config  uint64 // version of the configuration that the route is from
 	sampled bool   // all events are logged, also those of a request without trouble
@@ -76,8 +77,8 @@
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
 // newRequest returns the state of a request that has just arrived.
-func (g *Gateway) newRequest(r *http.Request) *request {
-	q := &request{in: r, id: r.Header.Get(g.cfg.Headers.RequestID), arrived: time.Now()}
+func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	q := &request{in: r, out: w, id: r.Header.Get(g.cfg.Headers.RequestID), arrived: time.Now()}
 	q.queuedAt = q.arrived
 	q.sampled = sampled(q.id)
 	return q
@@ -87,9 +88,6 @@
 func (g *Gateway) accept(q *request) error {
 	r := q.in
 	view := g.control.View()
-	if g.closed.Load() {
-		return fault.New(fault.NotReady, "this host is stopping")
-	}
 	if view.Routes == nil {
 		return fault.New(fault.NotReady, "no configuration has been received yet")
 	}
@@ -108,7 +106,7 @@
 	if err := g.readKey(q); err != nil {
 		return err
 	}
-	if err := q.readBody(view.Routes.Limits.BodyBytes); err != nil {
+	if err := g.receiveBody(q, view.Routes.Limits.BodyBytes); err != nil {
 		return err
 	}
 	g.setDeadline(q)
@@ -142,6 +140,24 @@
 	return nil
 }
 
+// receiveBody reads the body. A request whose body ends after this host has begun to
+// reject requests is rejected: it has not been sent, and it might not be answered in time.
+func (g *Gateway) receiveBody(q *request, limit int64) error {
+	stop := context.AfterFunc(g.ended, func() {
+		// fails only on a connection that doesn't support it
+		_ = http.NewResponseController(q.out).SetReadDeadline(time.Unix(1, 0))
+	})
+	defer stop()
+	err := q.readBody(limit)
+	if g.closed.Load() {
+		return errStopping()
+	}
+	return err
+}
+
+// errStopping returns the error of a request that arrives too late in a planned stop.
+func errStopping() error { return fault.New(fault.NotReady, "this host is stopping") }
+
 // readBody buffers the body, or the first maxBufferedBody bytes of a long one.
 func (q *request) readBody(limit int64) error {
 	q.length = q.in.ContentLength
@@ -178,7 +194,13 @@
 		limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
 	}
 	q.deadline = q.arrived.Add(limit)
-	q.ctx, q.cancel = context.WithDeadline(q.in.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.deadline)
+	unwatch := context.AfterFunc(g.ended, cancel)
+	q.ctx = ctx
+	q.cancel = func() {
+		unwatch()
+		cancel()
+	}
 }
 
 func (q *request) triedBefore(id string) bool {
