edge: a stopping host refuses by time, not by a sample

Callers sent requests to a stopping host to its end, among them ones that may not be repeated; the last were cut off with no answer. finishRequests polled the number of active requests; one sample of zero after the load balancer's delay ended it, and with it the only call that begins the refusal. Whatever arrived afterwards was accepted. In calm, with few requests a second, a moment without one is likely; with less than half of a domain ready the load balancer goes on sending to stopping hosts. Class: a duty bound to a moment that may pass unseen.

The plan of a stop is a pure function of the time since the signal and the time without requests (stopplan.go). New requests are refused from 2.8 s on, whatever was seen before; a quiet moment only ends the stop sooner, and then the listener is closed and what it accepted is answered or refused. Callers' connections are served and closed by httpdrain; a host that stops before it has a configuration refuses what waits in its backlog; the process may take its whole grace period.

Failed on the old code (a shim with its finishRequests and shutdown, several runs): TestRequestsTakenLongAfterTheStopSignalAreRefused (rows with a short pause, with a pause of the quiet time, without a pause: no answer), TestStopAnswersWhatItAccepted/with_half_a_head_on_a_kept_connection, TestRequestInFlightAtTheEndOfAStopIsAnswered (stop took 5.71 s). Ruled out: a slow backend server (the lost requests were accepted 5 s after the signal), the listener's backlog (they were passed on).

TestShutdownAnswersWhatItAccepted and TestShutdownIsBounded are TestStopAnswersWhatItAccepted and TestStopIsBounded now, with the same rows and bounds and three rows more.

--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -31,7 +31,8 @@
 	exitFailed      = 1
 	exitBadSettings = 2
 	startTimeout    = 15 * time.Second
-	stopTimeout     = 30 * time.Second
+	// stopReserve is added to the grace period in which the host itself stops.
+	stopReserve = 5 * time.Second
 	// memoryShare is the fraction of the host's memory that is set as the garbage
 	// collector's soft memory limit, above which it runs more often.
 	memoryShare = 0.6
@@ -71,7 +72,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
+		fx.StopTimeout(settings.StopGrace+stopReserve),
 		fx.Supply(withDroppedLines(options(settings), output)),
 		fx.Provide(
 			func() *zap.Logger { return newLogger(output) },
@@ -82,7 +83,7 @@
 		fx.Populate(&host),
 	)
 	go reloadOnHangup(hangups, host)
-	return serve(app, signals)
+	return serve(app, signals, settings.StopGrace+stopReserve)
 }
 
 func options(s platform.Settings) edge.Options {
@@ -131,8 +132,9 @@
 	}
 }
 
-// serve runs the app until a signal arrives and then stops it gracefully.
-func serve(app *fx.App, signals <-chan os.Signal) int {
+// serve runs the app until a signal arrives and then stops it gracefully within
+// stopTimeout.
+func serve(app *fx.App, signals <-chan os.Signal, stopTimeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,16 +32,6 @@
 	// configuration, which holds the limits on connections. After it they are
 	// served with the default limits.
 	maxConfigWait = 3 * time.Second
-	// stopMargin is the time that a graceful stop leaves before the platform kills
-	// the process.
-	stopMargin = 400 * time.Millisecond
-	// balancerDelay is how long the load balancer may still send new connections
-	// to a host after its readiness check fails.
-	balancerDelay = 2300 * time.Millisecond
-	// lateArrivals is how long after balancerDelay requests on connections that callers
-	// kept open are still accepted.
-	lateArrivals     = 500 * time.Millisecond
-	stopPollInterval = 10 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply while no configuration is
 	// known.
 	defaultHeaderTimeout = 3 * time.Second
@@ -86,7 +76,8 @@
 	incarnation string // identifies this run of the process
 	cluster     *cluster.Cluster
 	gateway     *gateway.Gateway
-	traffic     *http.Server
+	callers     *callerServer
+	stopping    chan struct{} // closed when the stop begins
 	ready       *http.Server
 	metrics     *http.Server
 	stop        context.CancelFunc
@@ -113,8 +104,9 @@
 	logger = logger.With(zap.String("host", opts.Host))
 	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds, Small: opts.belowAssignerMinimum()}, store, backends, hostlink.NewPool(), logger)
 	g := gateway.New(opts.Gateway, c, logger)
-	h := &Host{opts: opts, logger: logger.Named("edge"), incarnation: self.Incarnation, cluster: c, gateway: g}
-	h.traffic = &http.Server{Handler: g, ErrorLog: zap.NewStdLog(logger.Named("http"))}
+	h := &Host{opts: opts, logger: logger.Named("edge"), incarnation: self.Incarnation, cluster: c, gateway: g, stopping: make(chan struct{})}
+	h.callers = newCallerServer(g, g, h.logEvent)
+	h.callers.server.HTTP.ErrorLog = zap.NewStdLog(logger.Named("http"))
 	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	h.metrics = &http.Server{Handler: http.HandlerFunc(h.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}
 	return h, nil
@@ -189,28 +181,32 @@
 }
 
 // serveTraffic serves callers once the first configuration is known, with its limits,
-// or with the defaults after maxConfigWait.
+// or with the defaults after maxConfigWait or when the host stops: requests in the
+// listener's backlog are answered then, too.
 func (h *Host) serveTraffic(ctx context.Context, lis net.Listener) {
 	limit := time.NewTimer(maxConfigWait)
 	defer limit.Stop()
-	h.traffic.ReadHeaderTimeout, h.traffic.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
+	server := h.callers.server
+	server.HTTP.ReadHeaderTimeout, server.HTTP.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	for waiting := true; waiting; {
 		v := h.cluster.View()
 		if v.Routes != nil {
-			h.traffic.ReadHeaderTimeout = v.Routes.Limits.HeaderTimeout
-			h.traffic.IdleTimeout = v.Routes.Limits.IdleTimeout
-			h.traffic.MaxHeaderBytes = v.Routes.Limits.HeaderBytes
+			server.HTTP.ReadHeaderTimeout = v.Routes.Limits.HeaderTimeout
+			server.HTTP.IdleTimeout = v.Routes.Limits.IdleTimeout
+			server.HTTP.MaxHeaderBytes = v.Routes.Limits.HeaderBytes
 			break
 		}
 		select {
 		case <-v.Next:
 		case <-limit.C:
 			waiting = false
+		case <-h.stopping:
+			waiting = false
 		case <-ctx.Done():
 			return
 		}
 	}
-	h.runServer("serve callers", func() error { return h.traffic.Serve(lis) })
+	h.runServer("serve callers", func() error { return server.Serve(lis) })
 }
 
 // Reload applies the options that may change while the host runs: the seeds, which
@@ -260,16 +256,10 @@
 func (h *Host) Stop(context.Context) error {
 	begin := time.Now()
 	h.logEvent(event.StopBegun{Active: h.gateway.Active()})
+	close(h.stopping)
 	h.gateway.Stop()
 	h.cluster.Resign()
-	time.Sleep(h.opts.balancerDelay())
-	h.finishRequests(begin)
-	h.logEvent(event.IdleClosed{AfterMS: event.Millis(time.Since(begin)), Active: h.gateway.Active()})
-	left := h.opts.StopGrace - stopMargin - time.Since(begin)
-	if err := shutdown(h.traffic, h.gateway.Active, left); err != nil {
-		h.logEvent(event.ConnectionsLeft{Active: h.gateway.Active(), Error: err.Error()})
-		h.gateway.LogCutOff()
-	}
+	h.callers.stop(begin, planStop(h.opts.StopGrace))
 	h.stop()
 	h.cluster.Stop()
 	_ = h.ready.Close()   // closed at once: the responses of these two
@@ -279,25 +269,3 @@
 	h.logEvent(event.HostStopped{TookMS: event.Millis(time.Since(begin))})
 	return nil
 }
-
-// balancerDelay returns how long a stopping host goes on as before.
-func (o Options) balancerDelay() time.Duration { return min(balancerDelay, o.StopGrace/2) }
-
-// rejectAfter returns when a stopping host starts to refuse new requests. A request that
-// it accepts must end within the grace period, also at a slow backend server; one that it
-// refuses can be sent to another host at once.
-func (o Options) rejectAfter() time.Duration { return o.balancerDelay() + lateArrivals }
-
-// finishRequests waits until no requests are active. After a while it refuses new ones.
-func (h *Host) finishRequests(begin time.Time) {
-	for {
-		spent := time.Since(begin)
-		if h.gateway.Active() == 0 || spent > h.opts.StopGrace-stopMargin {
-			return
-		}
-		if spent > h.opts.rejectAfter() && h.gateway.RejectNew() {
-			h.logEvent(event.RefusalBegun{AfterMS: event.Millis(spent), Active: h.gateway.Active()})
-		}
-		time.Sleep(stopPollInterval)
-	}
-}
--- a/event/event.go
+++ b/event/event.go
@@ -49,6 +49,7 @@
 	row[StopBegun](infoLevel, "edge: planned stop begins"),
 	row[RefusalBegun](infoLevel, "edge: new requests are refused"),
 	row[IdleClosed](infoLevel, "edge: idle connections are closed"),
+	row[RequestsDropped](warnLevel, "edge: requests are given up at the end of the stop"),
 	row[ConnectionsLeft](warnLevel, "edge: connections were still open at the end"),
 	row[HostStopped](infoLevel, "edge: stopped"),
 	row[SettingsReloaded](infoLevel, "edge: settings reloaded"),
--- a/event/host.go
+++ b/event/host.go
@@ -47,16 +47,28 @@
 	return fmt.Sprintf("idle connections of callers are closed, %.0f ms after the stop signal; %d requests are active", e.AfterMS, e.Active)
 }
 
+// RequestsDropped records that a stopping host has reached the end of its grace period
+// with active requests, which it answers with what is known of them.
+type RequestsDropped struct {
+	AfterMS float64 `json:"after_ms"` // since the stop signal
+	Active  int64   `json:"active"`
+}
+
+// Text implements Event.
+func (e RequestsDropped) Text() string {
+	return fmt.Sprintf("the grace period ends, %.0f ms after the stop signal; %d requests are given up", e.AfterMS, e.Active)
+}
+
 // ConnectionsLeft records that callers' connections were still open at the end of a
 // stop.
 type ConnectionsLeft struct {
-	Active int64  `json:"active"`
-	Error  string `json:"error"`
+	Active      int64 `json:"active"`
+	Connections int   `json:"connections"`
 }
 
 // Text implements Event.
 func (e ConnectionsLeft) Text() string {
-	return fmt.Sprintf("stopped with %d active requests", e.Active)
+	return fmt.Sprintf("stopped with %d active requests and %d open connections", e.Active, e.Connections)
 }
 
 // HostStopped records that the host has stopped.
