--- a/assigner/admission.go
+++ b/assigner/admission.go
@@ -104,8 +104,14 @@
 type serverFlow struct {
 	answered float64
 	rejected float64 // requests that the server shed or whose connection it closed
+	// full is set while hosts send nothing to the server because it told them so: then
+	// few rejections do not show that it has room.
+	full bool
 }
 
+// overloaded reports whether the server turns requests away.
+func (f *serverFlow) overloaded() bool { return f.full || f.rejected >= minRejections }
+
 func newAdmission() *admission {
 	return &admission{keys: map[HotKey]*keyFlow{}, servers: map[string]*serverFlow{}}
 }
@@ -130,6 +136,16 @@
 	return f
 }
 
+// setFull marks the servers that are full.
+func (a *admission) setFull(full func(server string) bool) {
+	for _, f := range a.keys {
+		a.server(f.owner)
+	}
+	for id, f := range a.servers {
+		f.full = full(id)
+	}
+}
+
 func (a *admission) decay(now Time) {
 	factor := math.Exp(-float64(now-a.decayedAt) / float64(flowDecayTime))
 	a.decayedAt = now
@@ -141,7 +157,7 @@
 	for id, f := range a.servers {
 		f.answered *= factor
 		f.rejected *= factor
-		if f.answered < forgottenCount && f.rejected < forgottenCount {
+		if !f.full && f.answered < forgottenCount && f.rejected < forgottenCount {
 			delete(a.servers, id)
 		}
 	}
@@ -175,7 +191,7 @@
 	offered, answered := perSecond(f.offered), perSecond(owner.answered)
 	admitted := min(f.offered, f.rate*flowDecayTime.Seconds())
 	switch {
-	case f.rate == 0 && (owner.rejected < minRejections || offered < overloadRatio*capacity):
+	case f.rate == 0 && (!owner.overloaded() || offered < overloadRatio*capacity):
 		return
 	case f.rate == 0:
 		f.rate = max(excessAdmitted*answered, capacity)
@@ -183,7 +199,7 @@
 	case owner.rejected > max(rejectedShare*admitted, 1):
 		f.rate = min(f.rate, excessAdmitted*answered)
 		owner.rejected = 0 // these have been answered for
-	default:
+	case !owner.full:
 		f.rate *= admissionIncrease
 	}
 	f.rate = max(f.rate, minAdmitted*capacity)
@@ -233,6 +249,7 @@
 
 // decideAdmission publishes the limits if they have changed.
 func (m *Machine) decideAdmission(now Time) {
+	m.admission.setFull(func(server string) bool { return m.isFull(now, server) })
 	if !m.admission.decide(now, m.capacity) {
 		return
 	}
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -180,6 +180,7 @@
 	// published is the map that was last published, or nil.
 	published *keyrange.Map
 
+	full      *fullServers
 	admission *admission
 	admitted  Admission // the limits that hosts were told last
 	// serviceTimes holds the time that a request takes at a server of each service, as
@@ -200,6 +201,7 @@
 		firstSeen: map[string]Time{},
 		suspects:  newSuspects(),
 		load:      newLoads(),
+		full:      newFullServers(),
 		admission: newAdmission(),
 	}
 }
@@ -257,6 +259,7 @@
 	for _, c := range r.Rejected {
 		m.admission.server(c.ID).rejected += float64(c.Count)
 	}
+	m.addFull(now, from, r.Full)
 	m.suspects.recordReport(now, from)
 	if from != m.cfg.Self.Name {
 		m.otherReportAt = now
--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -32,7 +33,10 @@
 // moveOne makes the most useful move and reports whether there was one.
 func (p *servicePlan) moveOne(now Time, mean float64) bool {
 	sort.SliceStable(p.nodes, func(i, j int) bool { return p.nodes[i].utilization() > p.nodes[j].utilization() })
-	cold := p.nodes[len(p.nodes)-1]
+	cold := p.coldest()
+	if cold == nil {
+		return false
+	}
 	for _, hot := range p.nodes {
 		fair := mean * hot.capacity
 		if hot.utilization() < mean*imbalanceFactor || hot.load-fair < noiseSigmas*math.Sqrt(max(fair, 1)) {
@@ -49,6 +53,16 @@
 	return false
 }
 
+// coldest returns the last of the sorted servers that may get more load, or nil.
+func (p *servicePlan) coldest() *node {
+	for _, n := range slices.Backward(p.nodes) {
+		if !n.full {
+			return n
+		}
+	}
+	return nil
+}
+
 // moveLoad moves about amount of load from hot to cold. It reports whether a range
 // could be moved.
 func (p *servicePlan) moveLoad(now Time, hot, cold *node, amount float64) bool {
@@ -159,7 +173,7 @@
 		if !r.grantedToOwner() || r.Fence == 0 || now-r.state.movedAt < minMoveInterval || to == nil || to == r.owner {
 			continue
 		}
-		if r.load > smallShare*fair || to.load+r.load > imbalanceFactor*p.mean*to.capacity {
+		if to.full || r.load > smallShare*fair || to.load+r.load > imbalanceFactor*p.mean*to.capacity {
 			continue
 		}
 		p.assign(r, to, CauseAbsorb)
@@ -180,7 +194,7 @@
 		return n
 	}
 	owner := p.ranges[i].owner
-	if owner == nil || owner.load+load > p.mean*owner.capacity {
+	if owner == nil || owner.full || owner.load+load > p.mean*owner.capacity {
 		return n
 	}
 	return owner
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -117,6 +117,15 @@
 	Count int    `json:"n"`
 }
 
+// FullServer is a server that wants no requests from the reporting host for a while.
+type FullServer struct {
+	Holder keyrange.Holder `json:"holder"`
+	ForMS  int64           `json:"ms"` // remaining time in milliseconds
+}
+
+// MaxFull bounds the time for which a server counts as full after a report.
+const MaxFull = 5 * time.Minute
+
 // Report is what a host has observed since its last report.
 type Report struct {
 	Keys      []KeyLoad       `json:"keys,omitempty"`
@@ -127,6 +136,11 @@
 	// those at which one did, or whose state could not be determined.
 	Refused []keyrange.Holder `json:"refused,omitempty"`
 	Reached []keyrange.Holder `json:"reached,omitempty"`
+	// Leaving lists the servers that have answered that they leave. The machine gets
+	// them with its directory, in which they are draining.
+	Leaving []keyrange.Holder `json:"leaving,omitempty"`
+	// Full lists the servers that want no requests from the host at present.
+	Full []FullServer `json:"full,omitempty"`
 }
 
 // Action is an operation that the caller of the machine carries out.
@@ -199,6 +213,19 @@
 // Admit tells every host which servers' requests to limit.
 type Admit struct{ Admission Admission }
 
+// FullBegun tells that a server counts as full from now on. From is the host that
+// reported it.
+type FullBegun struct {
+	Server keyrange.Holder
+	For    time.Duration
+	From   string
+}
+
+// FullEnded tells that a server no longer counts as full.
+type FullEnded struct{ Server keyrange.Holder }
+
+func (FullBegun) action()     {}
+func (FullEnded) action()     {}
 func (Admit) action()         {}
 func (Load) action()          {}
 func (Append) action()        {}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -62,6 +62,7 @@
 	holder   keyrange.Holder
 	capacity float64 // relative throughput: slots × speed
 	load     float64
+	full     bool // gets no more keys, but keeps those that it has
 }
 
 func (n *node) utilization() float64 { return n.load / n.capacity }
@@ -194,7 +195,11 @@
 	}
 	speeds := m.load.speeds(ids)
 	for _, v := range servers {
-		n := &node{holder: v.Holder, capacity: float64(max(v.Slots, 1)) * speeds[v.Holder.ID]}
+		n := &node{
+			holder:   v.Holder,
+			capacity: float64(max(v.Slots, 1)) * speeds[v.Holder.ID],
+			full:     m.full.contains(now, v.Holder),
+		}
 		if v.Cold > 0 {
 			n.capacity /= 2
 		}
@@ -341,11 +346,13 @@
 	return head, tail
 }
 
-// leastUsed returns the server whose utilization would be lowest with load added.
+// leastUsed returns the server whose utilization would be lowest with load added. A
+// full one is chosen only if all are full, since every key needs an owner.
 func (p *servicePlan) leastUsed(load float64) *node {
 	best := p.nodes[0]
 	for _, n := range p.nodes[1:] {
-		if (n.load+load)/n.capacity < (best.load+load)/best.capacity {
+		lower := (n.load+load)/n.capacity < (best.load+load)/best.capacity
+		if n.full == best.full && lower || best.full && !n.full {
 			best = n
 		}
 	}
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -33,7 +33,7 @@
 type response struct{ *hostlink.SyncResponse }
 
 func (r response) hasUpdates() bool {
-	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil
+	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil || r.Leaving != nil
 }
 
 func waitFor(ctx context.Context, wake <-chan struct{}, d time.Duration) {
@@ -60,6 +60,7 @@
 func (c *Cluster) buildResponse(q *hostlink.SyncRequest) *hostlink.SyncResponse {
 	now := c.cfg.Clock()
 	leads := c.machine.Leads(now)
+	c.learnLeaving(q.From.Name, q.Report.Leaving)
 	if leads {
 		c.machine.AddReport(now, q.From.Name, q.Report)
 	}
@@ -86,7 +87,8 @@
 		}
 		a.Map = hostlink.PackMap(m)
 	}
-	addDirectory(a, v.Servers, q)
+	addDirectory(a, c.directory, q)
+	a.Leaving = c.newLeavingList(q)
 	if s.hosts > q.Hosts {
 		a.Hosts = c.hostsSince(q.Hosts)
 	}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
 	"github.com/lacewingsaddle/lacewingsaddle/event"
 )
 
@@ -88,6 +89,8 @@
 	// Used only by the control goroutine.
 	machine        *assigner.Machine
 	hosts          map[string]knownHost
+	directory      *directory.Snapshot // the entries; the view's directory also has the leaving servers
+	leaving        leavingState
 	hostsVersion   uint64 // store offset after the last known registration
 	rawConfig      []byte
 	failingSince   time.Duration // time of the first of the failing confirmations, 0 if none fails
@@ -103,8 +106,9 @@
 	// host, in nanoseconds of Clock.
 	confirmed atomic.Int64
 
-	mu           sync.Mutex // guards report
+	mu           sync.Mutex // guards report and full
 	report       assigner.Report
+	full         fullServers
 	urgent       chan struct{} // wakes sendUrgent
 	seedTurn     int           // number of addresses tried so far, selects the next seed
 	followerWake chan struct{} // wakes follow
@@ -124,6 +128,8 @@
 		views:        newViews(),
 		stats:        newStats(),
 		events:       make(chan func(), eventQueue),
+		directory:    &directory.Snapshot{},
+		full:         fullServers{},
 		hosts:        map[string]knownHost{cfg.Self.Name: {Host: cfg.Self}},
 		followerWake: make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
@@ -297,6 +303,11 @@
 			c.applyMap(a.Map)
 		case assigner.Admit:
 			c.applyAdmission(&a.Admission)
+		case assigner.FullBegun:
+			c.stats.ServersFull.Inc(1)
+			c.logEvent(event.ServerFull{Server: a.Server.ID, Born: a.Server.StartedMS, From: a.From, ForMS: event.Millis(a.For)})
+		case assigner.FullEnded:
+			c.logEvent(event.ServerFullEnded{Server: a.Server.ID, Born: a.Server.StartedMS})
 		case assigner.ProbeSuspects:
 			c.requestProbes(a.Suspects)
 		}
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -90,9 +90,11 @@
 }
 
 func (c *Cluster) drainReport() assigner.Report {
+	now := c.cfg.Clock() // before the lock, so that a host paused while reading the clock does not hold it
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := c.report
+	out.Full = c.full.due(now, c.View().Servers)
 	c.report = assigner.Report{}
 	return out
 }
@@ -131,10 +133,12 @@
 
 func (c *Cluster) buildSync(report assigner.Report) outgoingSync {
 	now := c.cfg.Clock()
+	c.learnLeaving(c.cfg.Self.Name, report.Leaving)
 	if c.machine.Leads(now) {
 		c.machine.AddReport(now, c.cfg.Self.Name, report)
 		return outgoingSync{}
 	}
+	report.Leaving = c.untoldLeaving()
 	q := outgoingSync{to: c.machine.Assigner()}
 	if q.to.Name == c.cfg.Self.Name {
 		q.to = assigner.Host{}
@@ -151,6 +155,7 @@
 		WaitMS:     int(syncWait.Milliseconds()),
 		ProbeRound: v.ProbeRound,
 		Hosts:      c.hostsVersion,
+		Leaving:    c.knownDigest(),
 		Compressed: true,
 	}
 	if v.Owners != nil {
@@ -203,6 +208,9 @@
 		c.machine.EpochAbandoned(now, a.Epoch)
 	}
 	c.applyDirectory(a)
+	if a.Leaving != nil {
+		c.applyLeaving(a.Assigner.Name, a.Leaving)
+	}
 	if a.Hosts != nil && a.Hosts.Version > c.hostsVersion {
 		c.applyHosts(a.Hosts.Hosts, a.Hosts.Version)
 	}
@@ -258,7 +266,7 @@
 	if a.Changes == nil {
 		return
 	}
-	if s := c.View().Servers.Apply(a.Changes); s != nil {
+	if s := c.directory.Apply(a.Changes); s != nil {
 		c.applyServers(s)
 	}
 }
--- a/cluster/responses.go
+++ b/cluster/responses.go
@@ -22,6 +22,7 @@
 	owners    keyrange.Version
 	servers   directory.Version
 	admission keyrange.Version
+	leaving   uint64
 	config    uint64
 	hosts     uint64
 	probes    uint64
@@ -29,7 +30,7 @@
 }
 
 func responseKeyOf(q *hostlink.SyncRequest) responseKey {
-	return responseKey{q.Map, q.Servers, q.Admission, q.Config, q.Hosts, q.ProbeRound, q.Compressed}
+	return responseKey{q.Map, q.Servers, q.Admission, q.Leaving, q.Config, q.Hosts, q.ProbeRound, q.Compressed}
 }
 
 // maxResponses bounds the responses that are kept.
--- a/cluster/serverwatch.go
+++ b/cluster/serverwatch.go
@@ -43,7 +43,7 @@
 		}
 		epoch := c.leadingEpoch()
 		if !w.loaded {
-			w.snapshot = c.View().Servers
+			w.snapshot, _ = query(c.ctx, c, func() *directory.Snapshot { return c.directory })
 		}
 		if epoch != 0 {
 			w.snapshot = w.snapshot.WithEpoch(epoch)
--- a/cluster/stats.go
+++ b/cluster/stats.go
@@ -16,6 +16,10 @@
 	Epochs     metrics.Counter
 	MapChanges metrics.Counter
 	Moves      metrics.Counter
+	// ServersLeaving counts the servers that answered that they leave, ServersFull those
+	// that began to count as full while this host was the assigner.
+	ServersLeaving metrics.Counter
+	ServersFull    metrics.Counter
 	// BadMessages counts the messages of other hosts that were rejected, Panics those
 	// whose handling panicked.
 	BadMessages metrics.Counter
@@ -26,17 +30,19 @@
 
 func newStats() *Stats {
 	return &Stats{
-		StoreCalls:   metrics.NewCounter(),
-		StoreFails:   metrics.NewCounter(),
-		Grants:       metrics.NewCounter(),
-		GrantFails:   metrics.NewCounter(),
-		Releases:     metrics.NewCounter(),
-		Epochs:       metrics.NewCounter(),
-		MapChanges:   metrics.NewCounter(),
-		Moves:        metrics.NewCounter(),
-		BadMessages:  metrics.NewCounter(),
-		Panics:       metrics.NewCounter(),
-		StoreResults: metrics.NewRegistry(),
+		StoreCalls:     metrics.NewCounter(),
+		StoreFails:     metrics.NewCounter(),
+		Grants:         metrics.NewCounter(),
+		GrantFails:     metrics.NewCounter(),
+		Releases:       metrics.NewCounter(),
+		Epochs:         metrics.NewCounter(),
+		MapChanges:     metrics.NewCounter(),
+		Moves:          metrics.NewCounter(),
+		ServersLeaving: metrics.NewCounter(),
+		ServersFull:    metrics.NewCounter(),
+		BadMessages:    metrics.NewCounter(),
+		Panics:         metrics.NewCounter(),
+		StoreResults:   metrics.NewRegistry(),
 	}
 }
 
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -47,10 +47,9 @@
 // applyServers publishes a directory if its version differs from the published one. What
 // this host knows to be outdated in it is left out.
 func (c *Cluster) applyServers(s *directory.Snapshot) {
-	if old := c.View().Servers; old.Version != s.Version {
-		s = s.After(old)
-		c.logServers(old, s)
-		c.views.update(func(v *View) { v.Servers = s })
+	if old := c.directory; old.Version != s.Version {
+		c.directory = s.After(old)
+		c.publishServers()
 	}
 	c.updateMachineServers(c.View().Servers)
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,9 @@
 	Domain  string          `json:"domain"`  // failure domain
 	Slots   int             `json:"slots"`   // number of requests it runs concurrently
 	State   State           `json:"state"`
+	// Leaving reports that the server has answered that it leaves. It is set by
+	// WithLeaving and is no part of the entry.
+	Leaving bool `json:"-"`
 	// Cold is how much longer the server stays slow after its start, as of its last
 	// entry.
 	Cold time.Duration `json:"cold,omitempty"`
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -44,6 +44,8 @@
 		{"messages_rejected", s.BadMessages.Count()},
 		{"message_panics", s.Panics.Count()},
 		{"map_changes", s.MapChanges.Count()},
+		{"servers_leaving", s.ServersLeaving.Count()},
+		{"servers_full", s.ServersFull.Count()},
 		{"backend_servers", int64(len(v.Servers.Servers))},
 		{"entry_hosts", int64(v.Hosts)},
 		{"requests_active", h.gateway.Active()},
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -277,6 +277,70 @@
 // Text implements Event.
 func (e ServerGone) Text() string { return Server(e).text("gone") }
 
+// LeavingSource tells how it became known that a backend server leaves.
+type LeavingSource string
+
+// The sources.
+const (
+	FromEntry   LeavingSource = "entry"
+	FromAnswers LeavingSource = "answers"
+)
+
+// ServerLeaving records that a backend server gets no new keys and requests without a
+// key from now on, until its process is no longer listed.
+type ServerLeaving struct {
+	Server string        `json:"server"`
+	Born   int64         `json:"born"` // Unix milliseconds
+	Source LeavingSource `json:"source"`
+	From   string        `json:"from,omitempty"` // host that told of the answers
+}
+
+// Text implements Event.
+func (e ServerLeaving) Text() string {
+	if e.Source == FromAnswers {
+		return fmt.Sprintf("backend server %s leaves, as its answers say (told by %s)", e.Server, e.From)
+	}
+	return fmt.Sprintf("backend server %s leaves, as its entry says", e.Server)
+}
+
+// ServerLeavingEnded records that a leaving backend server is no longer listed, was
+// started again, or has an entry that reads ready again.
+type ServerLeavingEnded struct {
+	Server string `json:"server"`
+	Born   int64  `json:"born"` // Unix milliseconds
+	Why    string `json:"why"`
+}
+
+// Text implements Event.
+func (e ServerLeavingEnded) Text() string {
+	return fmt.Sprintf("backend server %s no longer leaves: %s", e.Server, e.Why)
+}
+
+// ServerFull records, on the assigner, that a backend server gets no more keys for a
+// while because it wants no requests from a host.
+type ServerFull struct {
+	Server string  `json:"server"`
+	Born   int64   `json:"born"` // Unix milliseconds
+	From   string  `json:"from"` // host that reported it
+	ForMS  float64 `json:"for_ms"`
+}
+
+// Text implements Event.
+func (e ServerFull) Text() string {
+	return fmt.Sprintf("backend server %s is full for %.0f ms (told by %s)", e.Server, e.ForMS, e.From)
+}
+
+// ServerFullEnded records, on the assigner, that a backend server may get keys again.
+type ServerFullEnded struct {
+	Server string `json:"server"`
+	Born   int64  `json:"born"` // Unix milliseconds
+}
+
+// Text implements Event.
+func (e ServerFullEnded) Text() string {
+	return fmt.Sprintf("backend server %s is no longer full", e.Server)
+}
+
 // ServersSuspected records that the assigner asks every host to probe backend servers.
 type ServersSuspected struct {
 	Servers []string `json:"servers"`
--- a/hostlink/hostlink.go
+++ b/hostlink/hostlink.go
@@ -45,6 +45,9 @@
 	Admission  keyrange.Version `json:"admission"`
 	Report     assigner.Report  `json:"report"`
 	ProbeRound uint64           `json:"asked"` // last known probe round
+	// Leaving is the digest of the last received list of leaving servers; 0 is sent by
+	// hosts of earlier versions, which do not read that list.
+	Leaving uint64 `json:"leaving,omitempty"`
 	// Compressed tells that this host reads compressed responses, which hosts of
 	// earlier versions do not.
 	Compressed bool `json:"compressed,omitempty"`
@@ -71,6 +74,7 @@
 	Changes    *directory.Delta    `json:"changes,omitempty"`
 	Hosts      *HostList           `json:"hosts,omitempty"`
 	Admission  *assigner.Admission `json:"admission,omitempty"`
+	Leaving    *LeavingList        `json:"leaving,omitempty"`
 	Config     []byte              `json:"config,omitempty"` // as stored
 	Suspects   []assigner.Suspect  `json:"suspects,omitempty"`
 	ProbeRound uint64              `json:"asked,omitempty"`
@@ -83,6 +87,13 @@
 	Hosts   []assigner.Host `json:"hosts"`
 }
 
+// LeavingList holds the listed servers that have answered that they leave. It is also
+// sent by a host that does not lead, so that hosts learn it while no host can.
+type LeavingList struct {
+	Digest  uint64            `json:"digest"` // of the list
+	Servers []keyrange.Holder `json:"servers,omitempty"`
+}
+
 // RelayRequest asks another host to make a grant or release, because the assigner
 // cannot reach the server.
 type RelayRequest struct {
--- a/hostlink/validate.go
+++ b/hostlink/validate.go
@@ -87,9 +87,20 @@
 		check(len(r.Keys) <= maxEntries && len(r.Latencies) <= maxEntries, "report"),
 		validateHolders(r.Refused, "report.refused"),
 		validateHolders(r.Reached, "report.reached"),
+		validateHolders(r.Leaving, "report.leaving"),
+		validateFull(r.Full),
 	)
 }
 
+func validateFull(list []assigner.FullServer) error {
+	for _, f := range list {
+		if err := check(validName(f.Holder.ID) && f.ForMS > 0 && validMillis(f.ForMS, assigner.MaxFull), "report.full"); err != nil {
+			return err
+		}
+	}
+	return check(len(list) <= maxEntries, "report.full")
+}
+
 func validateHolders(list []keyrange.Holder, field string) error {
 	for _, h := range list {
 		if err := check(validName(h.ID), field); err != nil {
@@ -107,6 +118,7 @@
 		validateHosts(a.Hosts),
 		validateSuspects(a.Suspects),
 		validateAdmission(a.Admission),
+		validateLeaving(a.Leaving),
 	)
 }
 
@@ -192,6 +204,13 @@
 	return check(len(a.Limits) <= maxEntries, "admission")
 }
 
+func validateLeaving(l *LeavingList) error {
+	if l == nil {
+		return nil
+	}
+	return first(check(l.Digest != 0, "leaving.digest"), validateHolders(l.Servers, "leaving"))
+}
+
 func (c *RelayRequest) validate() error {
 	return first(
 		check(validName(c.From.Name), "from"),
