--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -326,6 +326,7 @@
 
 // Tick advances the machine to now.
 func (m *Machine) Tick(now Time) {
+	m.expireFull(now)
 	switch m.role {
 	case follower:
 		m.tickFollower(now)
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -16,7 +16,6 @@
 	m.load.reset(now)
 	m.admission = newAdmission()
 	m.admitted = Admission{}
-	m.full = newFullServers()
 	m.suspects.reset()
 	m.change = m.known.Change
 	// An earlier assigner may have renewed the grant of any holder until its lease
@@ -54,7 +53,6 @@
 		return
 	}
 	m.requestProbes(now)
-	m.expireFull(now)
 	m.planWhenDue(now)
 	m.decideAdmission(now)
 	hold := m.holdTime(now)
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -129,6 +129,7 @@
 	m.change = rec.Change
 	rec.Fences = fences
 	rec.Tables = tables
+	rec.Leaving = m.leavingServers()
 	m.append(rec, moves)
 }
 
@@ -176,6 +177,17 @@
 	return out
 }
 
+// leavingServers returns the listed servers whose answers said that they leave.
+func (m *Machine) leavingServers() []keyrange.Holder {
+	var out []keyrange.Holder
+	for _, v := range m.servers.Servers {
+		if v.Leaving {
+			out = append(out, v.Holder)
+		}
+	}
+	return out
+}
+
 // planService returns nil when the service has no usable server, or when its first
 // plan is still delayed.
 func (m *Machine) planService(now Time, name string) *servicePlan {
--- a/assigner/record.go
+++ b/assigner/record.go
@@ -16,6 +16,8 @@
 	Assigner Host
 	Fences   keyrange.Fence // highest token assigned
 	Tables   []keyrange.Table
+	// Leaving lists the servers whose answers said that they leave, for operators.
+	Leaving []keyrange.Holder
 }
 
 // Version returns the version of the record's map.
@@ -32,6 +34,8 @@
 	Fences   keyrange.Fence    `json:"fences"`
 	Servers  []keyrange.Holder `json:"servers"`
 	Tables   []tableJSON       `json:"tables"`
+	// Leaving was added later; hosts of earlier versions leave it out.
+	Leaving []keyrange.Holder `json:"leaving,omitempty"`
 }
 
 type tableJSON struct {
@@ -45,7 +49,7 @@
 
 // MarshalJSON implements json.Marshaler.
 func (r Record) MarshalJSON() ([]byte, error) {
-	out := recordJSON{Epoch: r.Epoch, Change: r.Change, Assigner: r.Assigner, Fences: r.Fences}
+	out := recordJSON{Epoch: r.Epoch, Change: r.Change, Assigner: r.Assigner, Fences: r.Fences, Leaving: r.Leaving}
 	index := map[keyrange.Holder]int{}
 	number := func(h keyrange.Holder) int {
 		i, ok := index[h]
@@ -76,6 +80,9 @@
 		return fault.Wrap(fault.BadRecord, err, "decode assignment record")
 	}
 	*r = Record{Epoch: in.Epoch, Change: in.Change, Assigner: in.Assigner, Fences: in.Fences}
+	if len(in.Leaving) > 0 {
+		r.Leaving = in.Leaving
+	}
 	for _, t := range in.Tables {
 		table, err := t.table(in.Servers)
 		if err != nil {
--- a/assigner/record_test.go
+++ b/assigner/record_test.go
@@ -18,6 +18,7 @@
 			{From: 0, To: 9, Owner: a, Fence: 7, Prior: []keyrange.Holder{b}},
 			{From: 10, To: keyrange.MaxKey, Owner: b, Fence: 8},
 		}}},
+		Leaving: []keyrange.Holder{b},
 	}
 	data, err := json.Marshal(r)
 	require.NoError(t, err)
@@ -40,6 +41,8 @@
 }
 
 func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"leaving":[]}`))
+	f.Add([]byte(`{"leaving":[{"id":"a","born":1}]}`))
 	f.Add([]byte(`{"servers":[{"id":"a"}],"tables":[{"service":"s","ranges":[[9,0,1]],"prior":[[0,0]]}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var r Record
--- a/assigner/reports_test.go
+++ b/assigner/reports_test.go
@@ -17,8 +17,10 @@
 		Keys:      []KeyLoad{{Service: "unknown", Key: 1, Count: 1}, {Service: "stock", Key: 1, Count: 1}},
 		Latencies: []ServerLatency{{ID: "unknown", Millis: 1}},
 		Refused:   []keyrange.Holder{{ID: "unknown"}},
+		Full:      []FullServer{{Holder: keyrange.Holder{ID: "unknown"}, ForMS: 1000}},
 	})
 	require.Len(t, m.load.services, 1)
 	require.Empty(t, m.load.latencies)
 	require.Empty(t, m.suspects.suspicions)
+	require.Empty(t, m.full.until)
 }
--- a/cluster/answer_test.go
+++ b/cluster/answer_test.go
@@ -24,18 +24,19 @@
 	require.Equal(t, 1, built)
 
 	changes := map[string]func(s *responseState, k *responseKey){
-		"a new view":           func(s *responseState, _ *responseKey) { s.view = &View{} },
-		"a new epoch":          func(s *responseState, _ *responseKey) { s.epoch++ },
-		"another assigner":     func(s *responseState, _ *responseKey) { s.assigner.Name = "b" },
-		"the start of a lease": func(s *responseState, _ *responseKey) { s.leads = true },
-		"an abandoned epoch":   func(s *responseState, _ *responseKey) { s.abandoned = true },
-		"a new host":           func(s *responseState, _ *responseKey) { s.hosts++ },
-		"an older map":         func(_ *responseState, k *responseKey) { k.owners = keyrange.Version{Epoch: 1} },
-		"an older directory":   func(_ *responseState, k *responseKey) { k.servers.Change++ },
-		"older limits":         func(_ *responseState, k *responseKey) { k.admission.Change++ },
-		"an older host list":   func(_ *responseState, k *responseKey) { k.hosts++ },
-		"an older probe round": func(_ *responseState, k *responseKey) { k.probes++ },
-		"another version":      func(_ *responseState, k *responseKey) { k.compress = true },
+		"a new view":                       func(s *responseState, _ *responseKey) { s.view = &View{} },
+		"a new epoch":                      func(s *responseState, _ *responseKey) { s.epoch++ },
+		"another assigner":                 func(s *responseState, _ *responseKey) { s.assigner.Name = "b" },
+		"the start of a lease":             func(s *responseState, _ *responseKey) { s.leads = true },
+		"an abandoned epoch":               func(s *responseState, _ *responseKey) { s.abandoned = true },
+		"a new host":                       func(s *responseState, _ *responseKey) { s.hosts++ },
+		"an older map":                     func(_ *responseState, k *responseKey) { k.owners = keyrange.Version{Epoch: 1} },
+		"an older directory":               func(_ *responseState, k *responseKey) { k.servers.Change++ },
+		"older limits":                     func(_ *responseState, k *responseKey) { k.admission.Change++ },
+		"an older list of leaving servers": func(_ *responseState, k *responseKey) { k.leaving++ },
+		"an older host list":               func(_ *responseState, k *responseKey) { k.hosts++ },
+		"an older probe round":             func(_ *responseState, k *responseKey) { k.probes++ },
+		"another version":                  func(_ *responseState, k *responseKey) { k.compress = true },
 	}
 	for name, change := range changes {
 		r, built = responses{}, 0
--- a/hostlink/validate_test.go
+++ b/hostlink/validate_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,8 @@
 			Keys:      []assigner.KeyLoad{{Service: "stock", Key: 7, Count: 1}},
 			Latencies: []assigner.ServerLatency{{ID: "s1", Millis: 20}},
 			Refused:   []keyrange.Holder{{ID: "s1", StartedMS: 1}},
+			Leaving:   []keyrange.Holder{{ID: "s1", StartedMS: 1}},
+			Full:      []assigner.FullServer{{Holder: keyrange.Holder{ID: "s1", StartedMS: 1}, ForMS: 1000}},
 		},
 	}
 }
@@ -67,6 +70,16 @@
 		"a huge count":                    sync(func(q *SyncRequest) { q.Report.Keys[0].Count = 1 << 40 }),
 		"a negative response time":        sync(func(q *SyncRequest) { q.Report.Latencies[0].Millis = -1 }),
 		"a refusal of no server":          sync(func(q *SyncRequest) { q.Report.Refused[0].ID = "" }),
+		"a leaving server without an id":  sync(func(q *SyncRequest) { q.Report.Leaving[0].ID = "" }),
+		"too many leaving servers":        sync(func(q *SyncRequest) { q.Report.Leaving = make([]keyrange.Holder, maxEntries+1) }),
+		"a full server without an id":     sync(func(q *SyncRequest) { q.Report.Full[0].Holder.ID = "" }),
+		"a full server without a time":    sync(func(q *SyncRequest) { q.Report.Full[0].ForMS = 0 }),
+		"a full server of negative time":  sync(func(q *SyncRequest) { q.Report.Full[0].ForMS = -1 }),
+		"a full server without an end":    sync(func(q *SyncRequest) { q.Report.Full[0].ForMS = 1 << 62 }),
+		"too many full servers":           sync(func(q *SyncRequest) { q.Report.Full = slices.Repeat(q.Report.Full, maxEntries+1) }),
+		"a list without a digest":         &SyncResponse{Leaving: &LeavingList{}},
+		"a listed server without an id":   &SyncResponse{Leaving: &LeavingList{Digest: 1, Servers: make([]keyrange.Holder, 1)}},
+		"a list without an end":           &SyncResponse{Leaving: &LeavingList{Digest: 1, Servers: slices.Repeat([]keyrange.Holder{{ID: "a"}}, maxEntries+1)}},
 		"too many keys":                   sync(func(q *SyncRequest) { q.Report.Keys = make([]assigner.KeyLoad, maxEntries+1) }),
 		"a relay without an epoch":        relay(func(c *RelayRequest) { c.Epoch = 0 }),
 		"a relay without a sender":        relay(func(c *RelayRequest) { c.From.Name = "" }),
@@ -98,7 +111,7 @@
 			require.Equal(t, fault.BadMessage, fault.KindOf(m.validate()))
 		})
 	}
-	for _, m := range []message{validSync(), validRelay(), servers(validServer("a"), validServer("b")), &SyncResponse{}, &RelayResponse{}} {
+	for _, m := range []message{validSync(), validRelay(), servers(validServer("a"), validServer("b")), &SyncResponse{}, &SyncResponse{Leaving: &LeavingList{Digest: 1, Servers: []keyrange.Holder{{ID: "a"}}}}, &RelayResponse{}} {
 		require.NoError(t, m.validate())
 	}
 }
@@ -264,6 +277,12 @@
 		}
 		require.LessOrEqual(t, len(q.Report.Keys), maxEntries)
 		require.LessOrEqual(t, time.Duration(q.WaitMS)*time.Millisecond, maxWait)
+		require.LessOrEqual(t, len(q.Report.Leaving), maxEntries)
+		require.LessOrEqual(t, len(q.Report.Full), maxEntries)
+		for _, v := range q.Report.Full {
+			require.Positive(t, v.ForMS)
+			require.LessOrEqual(t, time.Duration(v.ForMS)*time.Millisecond, assigner.MaxFull)
+		}
 		for _, k := range q.Report.Keys {
 			require.Positive(t, k.Count)
 		}
@@ -274,7 +293,8 @@
 func FuzzSyncResponse(f *testing.F) {
 	m := PackMap(&keyrange.Map{Tables: []keyrange.Table{{Service: "s", Ranges: []keyrange.Range{{To: 9, Owner: keyrange.Holder{ID: "a"}}}}}})
 	seed(f, &SyncResponse{Epoch: 1, Map: m, Servers: &directory.Snapshot{Servers: []directory.Server{validServer("a")}}},
-		&SyncResponse{Changes: &directory.Delta{Changes: []directory.Change{{ID: "a"}}}, Hosts: &HostList{Version: 1}})
+		&SyncResponse{Changes: &directory.Delta{Changes: []directory.Change{{ID: "a"}}}, Hosts: &HostList{Version: 1}},
+		&SyncResponse{Leaving: &LeavingList{Digest: 1, Servers: []keyrange.Holder{{ID: "a", StartedMS: 1}}}})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		a := &SyncResponse{}
 		if err := decode(data, a); err != nil {
@@ -291,6 +311,11 @@
 				require.NotNil(t, a.Servers.Find(v.Holder.ID))
 			}
 		}
+		if a.Leaving != nil {
+			require.NotZero(t, a.Leaving.Digest)
+			require.LessOrEqual(t, len(a.Leaving.Servers), maxEntries)
+			directory.Leaving{}.With(&directory.Snapshot{}, a.Leaving.Servers)
+		}
 		if a.Changes != nil {
 			(&directory.Snapshot{}).Fold(a.Changes.Changes, a.Changes.Next)
 		}
--- a/requestlog/subject.go
+++ b/requestlog/subject.go
@@ -78,6 +78,14 @@
 		return s.servers[e.ID]
 	case event.ServerGone:
 		return s.servers[e.ID]
+	case event.ServerLeaving:
+		return s.servers[e.Server]
+	case event.ServerLeavingEnded:
+		return s.servers[e.Server]
+	case event.ServerFull:
+		return s.servers[e.Server]
+	case event.ServerFullEnded:
+		return s.servers[e.Server]
 	case event.SuspectProbed:
 		return s.servers[e.Server]
 	case event.ServersSuspected:
--- a/storeview/storeview.go
+++ b/storeview/storeview.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
@@ -111,7 +112,7 @@
 	for _, v := range d.servers.Servers {
 		switch {
 		case v.Service != s.Name:
-		case v.State == directory.Ready:
+		case d.stateOf(v.Holder) == string(directory.Ready):
 			out.Ready++
 		default:
 			out.Draining++
@@ -179,7 +180,8 @@
 	return out
 }
 
-// stateOf returns the state of the process that a range was granted to.
+// stateOf returns the state of the process that a range was granted to. One that leaves
+// as its answers say is draining from the first record on that moves keys after that.
 func (d *Deployment) stateOf(h keyrange.Holder) string {
 	v := d.servers.Find(h.ID)
 	if v == nil {
@@ -188,6 +190,9 @@
 	if v.Holder != h {
 		return "restarted"
 	}
+	if slices.Contains(d.record.Leaving, h) {
+		return string(directory.Draining)
+	}
 	return string(v.State)
 }
 
