--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -1,14 +1,20 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
@@ -162,51 +168,67 @@
 	}
 }
 
-// Only a process that the directory lists counts.
-func TestLeavingOfAnUnknownServerIsDropped(t *testing.T) {
+// Only a process that the directory lists counts, and of others nothing is kept, neither
+// on the host nor on the assigner.
+func TestReportsOfUnknownServersAreDropped(t *testing.T) {
 	withDeployment(t, 4, 6, func(w *world) {
 		known := w.server("s1").holder
+		unknown := []keyrange.Holder{{ID: known.ID, StartedMS: known.StartedMS + 100}}
+		var full []assigner.FullServer
 		for i := range 10_000 {
-			unknown := keyrange.Holder{ID: fmt.Sprint("unknown", i), StartedMS: 1}
-			for _, name := range w.names() {
-				w.host(name).AddLeaving(unknown)
-				w.host(name).AddFull(unknown, time.Now().Add(time.Minute))
+			unknown = append(unknown, keyrange.Holder{ID: fmt.Sprint("unknown", i), StartedMS: 1})
+			full = append(full, assigner.FullServer{Holder: unknown[i], ForMS: 60_000})
+		}
+		for _, name := range w.names() {
+			c := w.host(name)
+			for _, h := range unknown {
+				c.AddLeaving(h)
+				c.AddFull(h, time.Now().Add(time.Minute))
 			}
+			c.mu.Lock()
+			require.Empty(t, c.report.Leaving)
+			require.Empty(t, c.full)
+			c.mu.Unlock()
+			q := &hostlink.SyncRequest{
+				From:   assigner.Host{Name: "sender", Peer: "127.0.0.1:1"},
+				Report: assigner.Report{Leaving: unknown, Full: full},
+			}
+			_, err := c.Sync(context.Background(), q)
+			require.NoError(t, err)
 		}
-		other := keyrange.Holder{ID: known.ID, StartedMS: known.StartedMS + 100}
-		w.host("h0").AddLeaving(other)
-		w.host("h0").AddFull(other, time.Now().Add(time.Minute))
 		require.Zero(t, w.watch(time.Second))
 		for _, name := range w.names() {
 			for _, v := range w.host(name).View().Servers.Servers {
 				require.Equal(t, directory.Ready, v.State)
 			}
-			c := w.host(name)
-			report := c.drainReport()
-			require.Empty(t, report.Leaving)
-			require.Empty(t, report.Full)
+			kept, _ := query(context.Background(), w.host(name), func() int { return len(w.host(name).leaving.known.Holders()) })
+			require.Zero(t, kept)
 		}
 	})
 }
 
-// Two servers leave at once while a third one is full: the full one is no lost server.
-func TestServersLeaveWhileAnotherIsFull(t *testing.T) {
+// Servers leave at once while others are full. One that is both leaves; one that is only
+// full is not lost.
+func TestServersLeaveWhileOthersAreFull(t *testing.T) {
 	withDeployment(t, 4, 6, func(w *world) {
-		full := w.server("s2").holder
+		both, full := w.server("s2").holder, w.server("s0").holder
 		kept := w.keysOfServer(full)
+		require.NotZero(t, kept)
 		until := time.Now().Add(10 * time.Second)
 		for _, name := range w.names() {
 			w.host(name).AddFull(full, until)
+			w.host(name).AddFull(both, until)
 		}
 		w.watch(500 * time.Millisecond)
+		require.NotZero(t, w.keysOfServer(both))
 		w.host("h1").AddLeaving(w.server("s1").holder)
 		w.host("h2").AddLeaving(w.server("s3").holder)
-		w.host("h3").AddLeaving(full)
-		w.watch(drainBound)
+		w.host("h3").AddLeaving(both)
+		require.Less(t, w.watch(drainBound), 200*time.Millisecond)
 		require.Zero(t, w.keysOfServer(w.server("s1").holder))
 		require.Zero(t, w.keysOfServer(w.server("s3").holder))
-		require.Zero(t, w.keysOfServer(full), "it leaves, too")
-		require.NotZero(t, kept)
+		require.Zero(t, w.keysOfServer(both))
+		require.Equal(t, kept, w.keysOfServer(full))
 		require.Equal(t, sampled, w.heldKeys())
 	})
 }
@@ -261,3 +283,70 @@
 		require.Equal(t, before, w.keysOfServer(full))
 	})
 }
+
+// A server that turns away request after request is reported once a second.
+func TestFullServerIsReportedAtABoundedRate(t *testing.T) {
+	s := (&directory.Snapshot{}).Fold([]directory.Change{{ID: "s1", Server: &directory.Server{Holder: keyrange.Holder{ID: "s1", StartedMS: 1}}}}, 1)
+	h := s.Servers[0].Holder
+	const until = 10 * time.Second
+	f := fullServers{}
+	reports := 0
+	for now := time.Millisecond; now < until; now += 5 * time.Millisecond {
+		f.add(h, until)
+		for _, r := range f.due(now, s) {
+			require.Equal(t, (until - now).Milliseconds(), r.ForMS)
+			reports++
+		}
+	}
+	require.Equal(t, int(until/fullReportInterval), reports)
+	require.Empty(t, f.due(until, s))
+	require.Empty(t, f, "its time is over")
+	f.add(h, 2*until)
+	require.Len(t, f.due(until+1, s), 1)
+	f.add(h, 3*until)
+	require.Len(t, f.due(until+2, s), 1, "a later end is reported at once")
+	require.Empty(t, f.due(until+3, &directory.Snapshot{}))
+	require.Empty(t, f, "it is not listed")
+}
+
+// Each host writes a line when a server begins and ceases to leave, the assigner one when
+// a server begins and ceases to be full.
+func TestLeavingAndFullServersAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.InfoLevel)
+		w := newWorld(t, 6)
+		w.logger = zap.New(core)
+		defer w.stop()
+		for i := range 4 {
+			w.addHost(fmt.Sprintf("h%d", i))
+		}
+		w.watch(startTime)
+		count := func(e event.Event) int { return lines.FilterMessage(event.Message(e)).Len() }
+		answers, entry, full := w.server("s1"), w.server("s2"), w.server("s3")
+		for range 3 {
+			w.host("h0").AddLeaving(answers.holder)
+			w.host("h1").AddFull(full.holder, time.Now().Add(2*time.Second))
+			w.watch(300 * time.Millisecond)
+		}
+		w.list(entry, directory.Draining)
+		w.watch(time.Second)
+		require.Equal(t, 2*4, count(event.ServerLeaving{}))
+		require.Equal(t, 4, lines.FilterField(zap.String("source", "answers")).Len())
+		require.Equal(t, 4, lines.FilterField(zap.String("source", "entry")).Len())
+		require.Equal(t, 1, count(event.ServerFull{}))
+		require.Zero(t, count(event.ServerLeavingEnded{}))
+		w.list(answers, directory.Draining)
+		w.watch(time.Second)
+		require.Equal(t, 2*4, count(event.ServerLeaving{}), "it was known to leave")
+		w.unlist(answers)
+		w.addServer("s2")
+		w.watch(3 * time.Second)
+		require.Equal(t, 2*4, count(event.ServerLeavingEnded{}))
+		require.Equal(t, 4, lines.FilterField(zap.String("why", "gone")).Len())
+		require.Equal(t, 4, lines.FilterField(zap.String("why", "restarted")).Len())
+		require.Equal(t, 1, count(event.ServerFullEnded{}))
+		for _, name := range w.names() {
+			require.Equal(t, int64(1), w.host(name).Stats().ServersLeaving.Count())
+		}
+	})
+}
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -262,6 +262,7 @@
 	paused  map[string]chan struct{}
 	starts  int
 	start   time.Time
+	logger  *zap.Logger
 }
 
 func newWorld(t *testing.T, servers int) *world {
@@ -273,6 +274,7 @@
 		silent: map[link]bool{},
 		paused: map[string]chan struct{}{},
 		start:  time.Now(),
+		logger: zap.NewNop(),
 	}
 	for i := range servers {
 		w.addServer(fmt.Sprintf("s%d", i))
@@ -378,7 +380,7 @@
 	w.starts++
 	self := assigner.Host{Name: name, Incarnation: fmt.Sprint(w.starts), Peer: name}
 	c := New(Config{Self: self, HoldMax: 10 * time.Second, Seeds: []string{"h0", "h1"}, Clock: w.clockOf(name)},
-		storeOf{w.store, name}, w, peersOf{w, name}, zap.NewNop())
+		storeOf{w.store, name}, w, peersOf{w, name}, w.logger)
 	w.mu.Lock()
 	w.hosts[name] = c
 	w.mu.Unlock()
