--- a/assigner/model_world_test.go
+++ b/assigner/model_world_test.go
@@ -73,6 +73,7 @@
 	storeDownUntil time.Duration
 	events         []event
 	lastStart      int64
+	leaving        []keyrange.Holder // processes that have answered that they leave
 	omit           omissions
 	ignorePauses   bool // clocks do not count pauses
 	noFaults       bool // no faults, and hosts always learn the directory and the assigner
@@ -185,6 +186,20 @@
 	case 12:
 		w.lastStart++
 		w.servers[s].restart(w.lastStart, w.now)
+	case 14, 15:
+		w.leaving = append(w.leaving, w.servers[s].holder)
+	case 16, 17:
+		w.reportFull(w.servers[s].holder, long)
+	}
+}
+
+// reportFull tells the hosts that lead that a server is full.
+func (w *world) reportFull(server keyrange.Holder, d time.Duration) {
+	report := Report{Full: []FullServer{{Holder: server, ForMS: d.Milliseconds()}}}
+	for _, h := range w.hosts {
+		if w.now >= h.pausedUntil && h.machine.Leads(w.clock(h)) {
+			h.machine.AddReport(w.clock(h), "other", report)
+		}
 	}
 }
 
@@ -225,7 +240,8 @@
 }
 
 // directory returns the servers. Some are missing at random, as servers that are hard
-// to reach may be.
+// to reach may be, and some of the leaving ones read ready, as on a host that has not
+// heard of it.
 func (w *world) directory() *directory.Snapshot {
 	out := &directory.Snapshot{Next: uint64(w.now)}
 	for _, s := range w.servers {
@@ -236,7 +252,16 @@
 			Holder: s.holder, Service: modelService, Address: s.addr, Slots: 3, State: directory.Ready,
 		})
 	}
-	return out
+	known, _ := directory.Leaving{}.With(out, w.leaving[:len(w.leaving)-w.unheard()])
+	return out.WithLeaving(known)
+}
+
+// unheard returns the number of leaving servers that a host does not know yet.
+func (w *world) unheard() int {
+	if len(w.leaving) == 0 || !w.chance(20) {
+		return 0
+	}
+	return w.pick(len(w.leaving))
 }
 
 func (w *world) reachesStore(h *modelHost) bool {
