--- a/cluster/troubles_test.go
+++ b/cluster/troubles_test.go
@@ -241,6 +241,19 @@
 			w.watch(time.Second)
 			w.addServer(s.holder.ID)
 		}, (*world).relist, time.Second, false},
+		{"server leaves while its entry reads ready", func(w *world, r *rand.Rand) {
+			s := w.anyServer(r)
+			w.tellRunningHosts(func(c *Cluster) { c.AddLeaving(s.holder) })
+			w.watch(2 * time.Second)
+			w.changeServer(s, func() { s.up = false })
+			w.unlist(s)
+			w.watch(time.Second)
+			w.addServer(s.holder.ID)
+		}, (*world).relist, time.Second, false},
+		{"server full for every host", func(w *world, r *rand.Rand) {
+			s := w.anyServer(r)
+			w.tellRunningHosts(func(c *Cluster) { c.AddFull(s.holder, time.Now().Add(2*time.Second)) })
+		}, (*world).relist, 3 * time.Second, true},
 		{"server's address goes to another service", func(w *world, r *rand.Rand) {
 			old := w.anyServer(r)
 			w.unlist(old)
@@ -253,6 +266,15 @@
 	}
 }
 
+// tellRunningHosts calls f with each host that is not paused.
+func (w *world) tellRunningHosts(f func(c *Cluster)) {
+	for _, name := range w.names() {
+		if !w.isPaused(name) {
+			f(w.host(name))
+		}
+	}
+}
+
 // addServerAt starts a server of another service at the address of a server, whose
 // process it ends.
 func (w *world) addServerAt(addr, id, service string) {
