--- a/assigner/admission_test.go
+++ b/assigner/admission_test.go
@@ -188,6 +188,28 @@
 	require.Empty(t, a.limits())
 }
 
+// While an owner is full, few rejections do not raise the admitted rate.
+func TestAdmissionDoesNotRiseWhileTheOwnerIsFull(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		a := newAdmission()
+		a.server("owner").rejected = 300
+		room := func(string) float64 { return 20 }
+		offer := func() { a.offered(hotKey, "owner", 400) }
+		offer()
+		now := admissionInterval
+		a.decide(now, room)
+		first := a.keys[hotKey].rate
+		require.Positive(t, first)
+		for range 10 {
+			offer()
+			now += admissionInterval
+			a.setFull(func(string) bool { return full })
+			a.decide(now, room)
+		}
+		require.Equal(t, !full, a.keys[hotKey].rate > first)
+	}
+}
+
 // Hosts are told of a limit when it begins, ends or changes much.
 func TestSmallChangesAreNotTold(t *testing.T) {
 	limit := func(share float64) []AdmissionLimit { return []AdmissionLimit{{HotKey: hotKey, Share: share}} }
--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -96,11 +96,63 @@
 				w.unlist(s)
 				w.watch(leaveTime)
 				require.False(t, w.usedAgain("s1"))
+				for _, name := range w.names() {
+					require.Empty(t, w.host(name).knownLeaving(), "kept as long as it is listed")
+				}
 			})
 		})
 	}
 }
 
+// knownLeaving returns the servers that a host knows to leave.
+func (c *Cluster) knownLeaving() []keyrange.Holder {
+	out, _ := query(context.Background(), c, c.leaving.known.Holders)
+	return out
+}
+
+// Every host is told at once, and the keys move with the next plan, not with the next
+// regular report or read of the store.
+func TestLeavingIsToldAtOnce(t *testing.T) {
+	const (
+		toldWithin  = 10 * hop
+		movedWithin = 300 * time.Millisecond
+	)
+	withDeployment(t, 8, 6, func(w *world) {
+		for i, s := range []*fakeServer{w.server("s1"), w.server("s3"), w.server("s4"), w.server("s5")} {
+			w.watch(time.Second + time.Duration(i)*70*time.Millisecond)
+			begin := time.Now()
+			w.host(w.followers()[i]).AddLeaving(s.holder)
+			time.Sleep(toldWithin)
+			w.requireDrainingEverywhere(t, s.holder)
+			w.watch(movedWithin - time.Since(begin))
+			require.Zero(t, w.keysOfServer(s.holder), s.holder.ID)
+		}
+	})
+}
+
+// A host of an earlier version does not read the list: what it cannot know must not end
+// its wait, or it would ask without a pause.
+func TestHostsOfEarlierVersionsAreNotToldOfLeaving(t *testing.T) {
+	withDeployment(t, 4, 6, func(w *world) {
+		lead := w.host(w.leaders()[0])
+		lead.AddLeaving(w.server("s1").holder)
+		w.watch(drainBound)
+		q := &hostlink.SyncRequest{From: assigner.Host{Name: "sender", Peer: "127.0.0.1:1"}}
+		a, err := lead.Sync(context.Background(), q)
+		require.NoError(t, err)
+		require.Nil(t, a.Leaving)
+		require.Equal(t, directory.Ready, a.Servers.Find("s1").State, "entries are sent as they read")
+		q.Leaving = directory.Leaving{}.Digest()
+		a, err = lead.Sync(context.Background(), q)
+		require.NoError(t, err)
+		require.Equal(t, []keyrange.Holder{w.server("s1").holder}, a.Leaving.Servers)
+		q.Leaving = a.Leaving.Digest
+		a, err = lead.Sync(context.Background(), q)
+		require.NoError(t, err)
+		require.Nil(t, a.Leaving, "it has the list")
+	})
+}
+
 // While the store is away no record can move keys: they stay where they are, every host
 // learns that the server leaves, and the keys move as soon as the store answers.
 func TestServerLeavesWhileTheStoreIsAway(t *testing.T) {
@@ -201,8 +253,7 @@
 			for _, v := range w.host(name).View().Servers.Servers {
 				require.Equal(t, directory.Ready, v.State)
 			}
-			kept, _ := query(context.Background(), w.host(name), func() int { return len(w.host(name).leaving.known.Holders()) })
-			require.Zero(t, kept)
+			require.Empty(t, w.host(name).knownLeaving())
 		}
 	})
 }
