--- a/assigner/full_test.go
+++ b/assigner/full_test.go
@@ -107,6 +107,7 @@
 		c.reportFull(295, 2*time.Second, full...)
 		c.now += 100 * time.Millisecond
 	}
+	c.reportFull(1, 10*time.Millisecond, full...) // of a host that was told a shorter time
 	require.Len(t, c.m.full.until, 1)
 	begun, ended := c.fullActions()
 	require.Equal(t, []FullBegun{{Server: full[0], For: 2 * time.Second, From: "h0"}}, begun)
--- a/requestlog/requestlog_test.go
+++ b/requestlog/requestlog_test.go
@@ -93,9 +93,20 @@
 		at(902, event.RequestRefused{Request: "r1", Service: "orders", Status: 502, Outcome: fault.Unknown, Kind: fault.AnswerCut}).
 		at(1500, event.ServerGone{ID: "o1"}).
 		at(1500, event.ServerGone{ID: "o2"})
-	x, err := Explain("r1", []Log{entry})
+	other := &hostLog{host: "entry-2"}
+	other.at(-500, event.ServerFull{Server: "o1", From: "entry-3", ForMS: 2000}).
+		at(-500, event.ServerFull{Server: "o2", From: "entry-3", ForMS: 2000}).
+		at(-100, event.ServerLeaving{Server: "o1", Source: event.FromAnswers}).
+		at(-100, event.ServerLeaving{Server: "o2", Source: event.FromAnswers}).
+		at(1400, event.ServerFullEnded{Server: "o2"}).
+		at(1400, event.ServerLeavingEnded{Server: "o2"})
+	x, err := Explain("r1", []Log{entry, other})
 	require.NoError(t, err)
-	require.Equal(t, []string{"entry-1 cluster: backend server gone"}, texts(x.Context))
+	require.Equal(t, []string{
+		"entry-2 cluster: backend server is full", "entry-2 cluster: backend server leaves", "entry-1 cluster: backend server gone",
+	}, texts(x.Context))
+	require.Contains(t, x.Findings, "entry-2 learnt that o1 leaves, from its answers.")
+	require.Contains(t, x.Findings, "o1 had told entry-3 that it wanted no requests for 2000 ms.")
 	require.Contains(t, x.Findings[0], "not known whether the request ran (status 502)")
 	require.Contains(t, x.Findings, "It was not sent again: it may have run and is not idempotent.")
 	require.Contains(t, x.Findings, "The connection to the server ended without a complete answer.")
