--- a/assigner/full.go
+++ b/assigner/full.go
@@ -1,6 +1,8 @@
 package assigner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -26,7 +28,8 @@
 
 func (f *fullServers) contains(now Time, h keyrange.Holder) bool { return now < f.until[h] }
 
-// expire removes and returns the servers that are no longer full or listed.
+// expire removes and returns, in order of their ids, the servers that are no longer full
+// or listed.
 func (f *fullServers) expire(now Time, s *directory.Snapshot) []keyrange.Holder {
 	var out []keyrange.Holder
 	for h, until := range f.until {
@@ -35,6 +38,9 @@
 			out = append(out, h)
 		}
 	}
+	slices.SortFunc(out, func(a, b keyrange.Holder) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedMS, b.StartedMS))
+	})
 	return out
 }
 
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -209,7 +209,7 @@
 	}
 	c.applyDirectory(a)
 	if a.Leaving != nil {
-		c.applyLeaving(a.Assigner.Name, a.Leaving)
+		c.applyLeaving(a)
 	}
 	if a.Hosts != nil && a.Hosts.Version > c.hostsVersion {
 		c.applyHosts(a.Hosts.Hosts, a.Hosts.Version)
--- a/cluster/full.go
+++ b/cluster/full.go
@@ -12,6 +12,10 @@
 // report, or a new assigner, costs no more than this.
 const fullReportInterval = time.Second
 
+// minFullExtension is by how much the end must move for a report at once: the same end,
+// read from two clocks, differs slightly.
+const minFullExtension = 100 * time.Millisecond
+
 // fullServers are the servers that want no requests from this host for a while.
 type fullServers map[keyrange.Holder]*fullServer
 
@@ -28,9 +32,10 @@
 		v = &fullServer{}
 		f[h] = v
 	}
-	if until > v.until {
-		v.until, v.reportedAt = until, 0
+	if until-v.until >= minFullExtension {
+		v.reportedAt = 0
 	}
+	v.until = max(v.until, until)
 }
 
 // due removes the servers that are no longer full or listed, and returns those to be
--- a/cluster/leaving.go
+++ b/cluster/leaving.go
@@ -58,16 +58,28 @@
 	c.leaving.known = known
 	c.stats.ServersLeaving.Inc(int64(len(added)))
 	for _, h := range added {
-		c.logEvent(event.ServerLeaving{Server: h.ID, Born: h.StartedMS, Source: event.FromAnswers, From: from})
+		c.logLearnt(from, h)
 	}
 	c.publishServers()
 	c.updateMachineServers(c.View().Servers)
 }
 
-// applyLeaving learns the servers that another host knows to leave.
-func (c *Cluster) applyLeaving(from string, l *hostlink.LeavingList) {
-	c.leaving.received, c.leaving.receivedDigest = l.Servers, l.Digest
-	c.learnLeaving(from, l.Servers)
+// logLearnt logs that a server leaves, unless its entry has told so before.
+func (c *Cluster) logLearnt(from string, h keyrange.Holder) {
+	if v := c.directory.Find(h.ID); v != nil && v.State == directory.Draining {
+		return
+	}
+	c.logEvent(event.ServerLeaving{Server: h.ID, Born: h.StartedMS, Source: event.FromAnswers, From: from})
+}
+
+// applyLeaving learns the servers that the responding host knows to leave.
+func (c *Cluster) applyLeaving(a *hostlink.SyncResponse) {
+	from := ""
+	if a.Leads {
+		from = a.Assigner.Name
+	}
+	c.leaving.received, c.leaving.receivedDigest = a.Leaving.Servers, a.Leaving.Digest
+	c.learnLeaving(from, a.Leaving.Servers)
 }
 
 // untoldLeaving returns the known servers that the last received list lacks.
--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -344,7 +344,7 @@
 	f := fullServers{}
 	reports := 0
 	for now := time.Millisecond; now < until; now += 5 * time.Millisecond {
-		f.add(h, until)
+		f.add(h, until+time.Duration(reports)) // clocks differ slightly
 		for _, r := range f.due(now, s) {
 			require.Equal(t, (until - now).Milliseconds(), r.ForMS)
 			reports++
@@ -389,7 +389,9 @@
 		require.Zero(t, count(event.ServerLeavingEnded{}))
 		w.list(answers, directory.Draining)
 		w.watch(time.Second)
-		require.Equal(t, 2*4, count(event.ServerLeaving{}), "it was known to leave")
+		w.host("h2").AddLeaving(entry.holder)
+		w.watch(time.Second)
+		require.Equal(t, 2*4, count(event.ServerLeaving{}), "both were known to leave")
 		w.unlist(answers)
 		w.addServer("s2")
 		w.watch(3 * time.Second)
@@ -398,7 +400,7 @@
 		require.Equal(t, 4, lines.FilterField(zap.String("why", "restarted")).Len())
 		require.Equal(t, 1, count(event.ServerFullEnded{}))
 		for _, name := range w.names() {
-			require.Equal(t, int64(1), w.host(name).Stats().ServersLeaving.Count())
+			require.Equal(t, int64(2), w.host(name).Stats().ServersLeaving.Count())
 		}
 	})
 }
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -292,15 +292,20 @@
 	Server string        `json:"server"`
 	Born   int64         `json:"born"` // Unix milliseconds
 	Source LeavingSource `json:"source"`
-	From   string        `json:"from,omitempty"` // host that told of the answers
+	// From is the host that told of the answers; empty for one that does not lead.
+	From string `json:"from,omitempty"`
 }
 
 // Text implements Event.
 func (e ServerLeaving) Text() string {
-	if e.Source == FromAnswers {
-		return fmt.Sprintf("backend server %s leaves, as its answers say (told by %s)", e.Server, e.From)
+	if e.Source == FromEntry {
+		return fmt.Sprintf("backend server %s leaves, as its entry says", e.Server)
 	}
-	return fmt.Sprintf("backend server %s leaves, as its entry says", e.Server)
+	from := e.From
+	if from == "" {
+		from = "another host"
+	}
+	return fmt.Sprintf("backend server %s leaves, as its answers say (told by %s)", e.Server, from)
 }
 
 // ServerLeavingEnded records that a leaving backend server is no longer listed, was
