--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -289,7 +289,7 @@
 // many hosts report it.
 func TestFullServerKeepsItsKeysAndGetsNoOthers(t *testing.T) {
 	for _, hosts := range []int{8, 295} {
-		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, 6)
 				defer w.stop()
@@ -405,46 +405,56 @@
 	})
 }
 
-// Every one of 295 hosts, from many goroutines, reports the same servers with every
-// request. What is kept is one entry each.
+// Every host, from several goroutines, reports the same servers with every request. What
+// is kept is one entry each.
 func TestManyHostsReportTheSameServers(t *testing.T) {
-	const hosts, goroutines = 295, 4
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 6)
-		defer w.stop()
-		for i := range hosts {
-			w.addHost(fmt.Sprintf("h%d", i))
-		}
-		w.watch(startTime)
-		leaving, full := w.server("s1").holder, w.server("s0").holder
-		kept := w.keysOfServer(full)
-		until := time.Now().Add(time.Minute)
-		var requests sync.WaitGroup
-		for _, name := range w.names() {
-			c := w.host(name)
-			for range goroutines {
-				requests.Go(func() {
-					for range 20 {
-						c.AddLeaving(leaving)
-						c.AddFull(full, until)
-						time.Sleep(25 * time.Millisecond)
-					}
-				})
-			}
-		}
-		w.watch(drainBound)
-		requests.Wait()
-		w.requireDrainingEverywhere(t, leaving)
-		require.Zero(t, w.keysOfServer(leaving))
-		require.Equal(t, kept, w.keysOfServer(full))
-		for _, name := range w.names() {
-			c := w.host(name)
-			require.Equal(t, []keyrange.Holder{leaving}, c.knownLeaving())
-			c.mu.Lock()
-			require.Empty(t, c.report.Leaving)
-			require.Len(t, c.full, 1)
-			c.mu.Unlock()
+	for _, hosts := range []int{8, 295} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 6)
+				defer w.stop()
+				for i := range hosts {
+					w.addHost(fmt.Sprintf("h%d", i))
+				}
+				w.watch(startTime)
+				leaving, full := w.server("s1").holder, w.server("s0").holder
+				kept := w.keysOfServer(full)
+				requests := w.reportFromAll(leaving, full)
+				w.watch(drainBound)
+				requests.Wait()
+				w.requireDrainingEverywhere(t, leaving)
+				require.Zero(t, w.keysOfServer(leaving))
+				require.Equal(t, kept, w.keysOfServer(full))
+				for _, name := range w.names() {
+					c := w.host(name)
+					require.Equal(t, []keyrange.Holder{leaving}, c.knownLeaving())
+					c.mu.Lock()
+					require.Empty(t, c.report.Leaving)
+					require.Len(t, c.full, 1)
+					c.mu.Unlock()
+				}
+				require.Equal(t, sampled, w.heldKeys())
+			})
+		})
+	}
+}
+
+// reportFromAll makes every host report two servers again and again for half a second.
+func (w *world) reportFromAll(leaving, full keyrange.Holder) *sync.WaitGroup {
+	const goroutines, requests, pause = 4, 20, 25 * time.Millisecond
+	until := time.Now().Add(time.Minute)
+	var running sync.WaitGroup
+	for _, name := range w.names() {
+		c := w.host(name)
+		for range goroutines {
+			running.Go(func() {
+				for range requests {
+					c.AddLeaving(leaving)
+					c.AddFull(full, until)
+					time.Sleep(pause)
+				}
+			})
 		}
-		require.Equal(t, sampled, w.heldKeys())
-	})
+	}
+	return &running
 }
