--- a/assigner/record.go
+++ b/assigner/record.go
@@ -16,7 +16,8 @@
 	Assigner Host
 	Fences   keyrange.Fence // highest token assigned
 	Tables   []keyrange.Table
-	// Leaving lists the servers whose answers said that they leave, for operators.
+	// Leaving lists the servers whose answers said that they leave, for operators and for
+	// hosts that start after all others are lost.
 	Leaving []keyrange.Holder
 }
 
--- a/cluster/leaving.go
+++ b/cluster/leaving.go
@@ -21,6 +21,9 @@
 	// it lacks is reported.
 	received       []keyrange.Holder
 	receivedDigest uint64
+	// recorded is the list in the newest assignment record that this host has read. It is
+	// kept until the entries are known, too.
+	recorded []keyrange.Holder
 }
 
 // AddLeaving reports that a backend server answered that it leaves. Of servers that this
@@ -46,30 +49,42 @@
 	return true
 }
 
-// learnLeaving adds servers that leave, as a host tells it, to the known ones.
+// learnLeaving learns servers that leave from a host, and publishes them.
 func (c *Cluster) learnLeaving(from string, holders []keyrange.Holder) {
-	if len(holders) == 0 || len(c.leaving.known.Holders()) >= maxLeaving {
+	if !c.addLeaving(event.FromAnswers, from, holders) {
 		return
 	}
-	known, added := c.leaving.known.With(c.directory, holders[:min(len(holders), maxLeaving)])
-	if len(added) == 0 {
+	c.publishServers()
+	c.updateMachineServers(c.View().Servers)
+}
+
+// learnRecorded learns servers that leave from an assignment record, for hosts that start
+// when no other host runs.
+func (c *Cluster) learnRecorded(holders []keyrange.Holder) {
+	c.leaving.recorded = holders[:min(len(holders), maxLeaving)]
+	if len(holders) == 0 {
 		return
 	}
-	c.leaving.known = known
-	c.stats.ServersLeaving.Inc(int64(len(added)))
-	for _, h := range added {
-		c.logLearnt(from, h)
-	}
 	c.publishServers()
 	c.updateMachineServers(c.View().Servers)
 }
 
-// logLearnt logs that a server leaves, unless its entry has told so before.
-func (c *Cluster) logLearnt(from string, h keyrange.Holder) {
-	if v := c.directory.Find(h.ID); v != nil && v.State == directory.Draining {
-		return
+// addLeaving adds those of the given servers that the directory lists to the known ones,
+// and reports whether any is new.
+func (c *Cluster) addLeaving(source event.LeavingSource, from string, holders []keyrange.Holder) bool {
+	if len(holders) == 0 || len(c.leaving.known.Holders()) >= maxLeaving {
+		return false
+	}
+	known, added := c.leaving.known.With(c.directory, holders[:min(len(holders), maxLeaving)])
+	c.leaving.known = known
+	c.stats.ServersLeaving.Inc(int64(len(added)))
+	for _, h := range added {
+		if v := c.directory.Find(h.ID); v.State == directory.Draining {
+			continue // its entry has told so before
+		}
+		c.logEvent(event.ServerLeaving{Server: h.ID, Born: h.StartedMS, Source: source, From: from})
 	}
-	c.logEvent(event.ServerLeaving{Server: h.ID, Born: h.StartedMS, Source: event.FromAnswers, From: from})
+	return len(added) > 0
 }
 
 // applyLeaving learns the servers that the responding host knows to leave.
@@ -109,6 +124,7 @@
 // publishServers publishes the directory, in which the servers that are known to leave
 // are draining, whatever their entries read.
 func (c *Cluster) publishServers() {
+	c.addLeaving(event.FromRecord, "", c.leaving.recorded)
 	c.leaving.known = c.leaving.known.ListedIn(c.directory)
 	s := c.directory.WithLeaving(c.leaving.known)
 	c.logServers(c.View().Servers, s)
--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -221,6 +221,29 @@
 	}
 }
 
+// Hosts that start after all others are lost know from the record which servers leave.
+func TestLeavingServerIsNotUsedAgainAfterTheLossOfAllHosts(t *testing.T) {
+	withDeployment(t, 4, 6, func(w *world) {
+		s := w.server("s1")
+		w.host("h2").AddLeaving(s.holder)
+		w.watch(drainBound)
+		w.stop()
+		w.watch(500 * time.Millisecond)
+		w.addHost("n0")
+		w.addHost("n1")
+		w.watch(settleTime)
+		w.setServer("s2", func(s *fakeServer) { s.up = false }) // its keys need owners
+		w.watch(settleTime)
+		w.requireDrainingEverywhere(t, s.holder)
+		require.Zero(t, w.keysOfServer(s.holder))
+		require.Equal(t, sampled, w.heldKeys())
+		w.unlist(s)
+		now := w.addServer("s1").holder
+		w.watch(settleTime)
+		require.Equal(t, directory.Ready, w.stateOn("n0", now))
+	})
+}
+
 // Only a process that the directory lists counts, and of others nothing is kept, neither
 // on the host nor on the assigner.
 func TestReportsOfUnknownServersAreDropped(t *testing.T) {
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -24,6 +24,9 @@
 		e.Record = rec
 	}
 	c.post(func() {
+		if e.Result == assigner.StoreOK && e.Record != nil {
+			c.learnRecorded(e.Record.Leaving)
+		}
 		c.machine.StepLoaded(c.cfg.Clock(), e)
 		c.wakeFollower()
 	})
--- a/event/cluster.go
+++ b/event/cluster.go
@@ -284,6 +284,7 @@
 const (
 	FromEntry   LeavingSource = "entry"
 	FromAnswers LeavingSource = "answers"
+	FromRecord  LeavingSource = "record" // an assigner learnt it from answers earlier
 )
 
 // ServerLeaving records that a backend server gets no new keys and requests without a
@@ -298,8 +299,8 @@
 
 // Text implements Event.
 func (e ServerLeaving) Text() string {
-	if e.Source == FromEntry {
-		return fmt.Sprintf("backend server %s leaves, as its entry says", e.Server)
+	if e.Source != FromAnswers {
+		return fmt.Sprintf("backend server %s leaves, as the %s says", e.Server, e.Source)
 	}
 	from := e.From
 	if from == "" {
--- a/requestlog/findings.go
+++ b/requestlog/findings.go
@@ -91,7 +91,7 @@
 	case event.ServerGone:
 		return fmt.Sprintf("%s saw %s leave the list of backend servers.", step.Host, e.ID)
 	case event.ServerLeaving:
-		return fmt.Sprintf("%s learnt that %s leaves, from its %s.", step.Host, e.Server, e.Source)
+		return fmt.Sprintf("%s learnt that %s leaves (source: %s).", step.Host, e.Server, e.Source)
 	case event.ServerFull:
 		return fmt.Sprintf("%s had told %s that it wanted no requests for %.0f ms.", e.Server, e.From, e.ForMS)
 	case event.ServerRestarted:
