httpdrain: a request read together with the one before it is not idle

A caller that sends its next request before it has the answer to the last (pipelining) got no answer if the stop closed idle connections meanwhile; the request had been passed on.

After the quiet time its end was set, the background read of net/http returned io.EOF, and the request's context ended as if its caller had left.

TestPipelinedRequestIsNotCutOff failed before: the answers held "/fast" and no "/slow". Now net/http's StateActive, which it sets when a head is complete and before the handler is called, marks the connection as busy.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -133,7 +133,7 @@
 	return c.ending
 }
 
-// markBusy records that bytes of a request were read.
+// markBusy records that bytes of a request were read, or that its head is complete.
 func (c *conn) markBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpdrain/conn_test.go
+++ b/internal/httpdrain/conn_test.go
@@ -176,3 +176,39 @@
 		time.Sleep(time.Minute) // the handler returns
 	})
 }
+
+// A request that was read together with the one before it isn't cut off as if its
+// connection were idle.
+func TestPipelinedRequestIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipenet.New()
+		lis := network.Listen()
+		s := New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				select {
+				case <-time.After(time.Second):
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler) // as a handler whose caller has left
+				}
+			}
+			_, _ = io.WriteString(w, r.URL.Path) // the test reads it
+		}))
+		go func() { _ = s.Serve(lis) }() // returns with the drain
+		caller, err := network.Dial(t.Context(), "tcp", lis.Addr().String())
+		require.NoError(t, err)
+		defer caller.Close()
+		_, err = io.WriteString(caller, "GET /fast HTTP/1.1\r\nHost: x\r\n\r\nGET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		answers := make(chan string, 1)
+		go func() {
+			b, _ := io.ReadAll(caller) // a connection that was cut off shows in the answers
+			answers <- string(b)
+		}()
+		synctest.Wait()
+		time.Sleep(2 * quietTime)
+		require.Zero(t, s.Drain(t.Context()))
+		got := <-answers
+		require.Contains(t, got, "/fast")
+		require.Contains(t, got, "/slow")
+	})
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -169,6 +169,8 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.markBusy() // its request may have been read with the one before it
 	case http.StateIdle:
 		c.markIdle(time.Now())
 	case http.StateClosed, http.StateHijacked:
