gateway: refuse a request with half a body at the end of a stop, don't drop it

A request whose body was still arriving when the stop gave it up got its connection closed, with no refusal, and was logged as "caller left".

Cause: CutOff ends the read of the body with a deadline. Any error of a read ends the request's context in net/http, and refuse takes an ended context for a caller that has left. The tests of CutOff used a recorder, which has no connection. Class: a state kept elsewhere (the context of net/http) taken for a fact (the caller has left).

TestRequestWithHalfABodyAtTheEndOfAStopIsRefused failed before with "unexpected EOF". Once requests are cut off, refuse answers whatever the context says; to a caller that has left the write does nothing.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -94,7 +94,8 @@
 // refuse writes an error response for a request that no backend server answered.
 // q.route may be nil.
 func (g *Gateway) refuse(w http.ResponseWriter, q *request, err error) {
-	if q.in.Context().Err() != nil {
+	// CutOff ends the read of a body, which ends the request's context, too.
+	if q.in.Context().Err() != nil && g.ended.Err() == nil {
 		g.recordCallerLeft(q, err)
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/pipenet"
 )
 
 // hang is a server that reads requests and never answers.
@@ -87,3 +89,31 @@
 		require.Zero(t, b.runCount("r1"))
 	})
 }
+
+// A request of which half a body has arrived when its host gives it up is refused, not
+// dropped: the end of the read looks to net/http as if its caller had left.
+func TestRequestWithHalfABodyAtTheEndOfAStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestGateway(t)
+		defer b.close()
+		network := pipenet.New()
+		lis := network.Listen()
+		server := &http.Server{Handler: b.gateway}
+		go func() { _ = server.Serve(lis) }() // returns with Close
+		defer server.Close()
+		caller, err := network.Dial(t.Context(), "tcp", lis.Addr().String())
+		require.NoError(t, err)
+		defer caller.Close()
+		_, err = io.WriteString(caller, "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nx")
+		require.NoError(t, err)
+		synctest.Wait()
+		b.gateway.Stop()
+		require.True(t, b.gateway.RejectNew())
+		b.gateway.CutOff()
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Zero(t, b.runCount("r1"))
+	})
+}
