httpdrain: the backlog is accepted whole, however late the process gets CPU

Callers whose connections lay in the listener's backlog at the end of a stop had them reset, though whole requests were sent on them.

The backlog was accepted within 10 ms of the close; once the deadline of the listener has expired, Accept fails without a look at the backlog. A host with a share of a core may get no CPU for longer than that. Also, the drain waited without a bound for the accept loop to return, which net/http suspends for up to a second while file descriptors are lacking; the requests in flight were given up that much later, after the margin before the kill.

TestDrainOfAStarvedProcessAnswersTheBacklog failed before with "connection reset by peer", TestDrainIsBoundedWithAStuckListener with "deadlock: all goroutines in bubble are blocked". Now a timeout of Accept ends the listener only if poll(2) shows no connection, and the wait for the accept loop is bounded by the end of the drain, or 200 ms if that is later. A listener that is served after the drain has begun is closed.

A connection that arrives between this look and the close is still reset: nothing in TCP closes a listener only if its backlog is empty.

--- a/internal/httpdrain/conn_test.go
+++ b/internal/httpdrain/conn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -212,3 +213,76 @@
 		require.Contains(t, got, "/slow")
 	})
 }
+
+// starvedListener accepts nothing until the time to accept is over, as in a process that
+// got no CPU meanwhile.
+type starvedListener struct {
+	*net.TCPListener
+	closing chan time.Time
+	once    sync.Once
+}
+
+func (l *starvedListener) Accept() (net.Conn, error) {
+	l.once.Do(func() { time.Sleep(time.Until(<-l.closing)) })
+	return l.TCPListener.Accept()
+}
+
+func (l *starvedListener) SetDeadline(t time.Time) error {
+	err := l.TCPListener.SetDeadline(t)
+	select {
+	case l.closing <- t:
+	default: // only the first one counts
+	}
+	return err
+}
+
+// Connections in the backlog are answered, not reset, also if nothing could be accepted in
+// the time that the listener has for it.
+func TestDrainOfAStarvedProcessAnswersTheBacklog(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var callers []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", lis.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		callers = append(callers, c)
+	}
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })) // the test reads it
+	go func() {
+		_ = s.Serve(&starvedListener{TCPListener: lis.(*net.TCPListener), closing: make(chan time.Time, 1)}) // returns with the drain
+	}()
+	for !s.isServing() {
+		time.Sleep(time.Millisecond)
+	}
+	require.Zero(t, s.Drain(t.Context()))
+	for _, c := range callers {
+		answer, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Contains(t, string(answer), "done")
+	}
+}
+
+// stuckListener never returns from Accept until it is closed, as net/http's accept loop
+// while it waits for free file descriptors.
+type stuckListener struct{ *pipenet.Listener }
+
+func (stuckListener) SetDeadline(time.Time) error { return nil }
+
+// A listener that doesn't return in time doesn't hold up the end of a drain.
+func TestDrainIsBoundedWithAStuckListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(http.NotFoundHandler())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(stuckListener{pipenet.New().Listen()}) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begin := time.Now()
+		require.Zero(t, s.Drain(ctx))
+		require.LessOrEqual(t, time.Since(begin), time.Second)
+		require.Equal(t, http.ErrServerClosed, <-ended)
+	})
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -14,16 +14,21 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// quietTime is how long a connection must have been without a request before it is
 	// closed. On a new connection the request follows soon.
 	quietTime = 100 * time.Millisecond
-	// acceptTail is how long a closing listener still accepts the connections in its
-	// backlog, which would be reset.
-	acceptTail   = 10 * time.Millisecond
+	// acceptTail is how long a closing listener waits for connections. Those in its
+	// backlog, which would be reset, are accepted after it, too.
+	acceptTail = 10 * time.Millisecond
+	// acceptLimit is the time for the backlog, also in a drain that has less.
+	acceptLimit  = 200 * time.Millisecond
 	pollInterval = 10 * time.Millisecond
 )
 
@@ -66,6 +71,7 @@
 	closing := s.closing
 	s.mu.Unlock()
 	if closing {
+		_ = l.Close() // nothing was accepted
 		return http.ErrServerClosed
 	}
 	err := s.HTTP.Serve(&listener{Listener: l, server: s})
@@ -96,7 +102,7 @@
 // closes them. It returns the number of connections that are still open when ctx ends.
 func (s *Server) Drain(ctx context.Context) int {
 	s.StopKeepAlive()
-	s.stopAccepting()
+	s.stopAccepting(ctx)
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
@@ -121,8 +127,9 @@
 	return s.HTTP.Close()
 }
 
-// stopAccepting accepts what is in the listener's backlog and closes it.
-func (s *Server) stopAccepting() {
+// stopAccepting accepts what is in the listener's backlog and closes it, at the latest when
+// both ctx and acceptLimit have ended.
+func (s *Server) stopAccepting(ctx context.Context) {
 	s.mu.Lock()
 	s.closing = true
 	l, served := s.listener, s.served
@@ -130,12 +137,27 @@
 	if l == nil {
 		return
 	}
-	d, ok := l.(interface{ SetDeadline(time.Time) error })
-	if !ok || d.SetDeadline(time.Now().Add(acceptTail)) != nil {
+	defer l.Close() // net/http closes it, too
+	if !endAccept(l) {
 		_ = l.Close() // Serve returns the error of a listener that was closed before
 	}
-	<-served
-	_ = l.Close() // net/http closes it, too
+	limit := time.NewTimer(acceptLimit)
+	defer limit.Stop()
+	select {
+	case <-served:
+		return
+	case <-limit.C:
+	}
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+}
+
+// endAccept has Accept end after acceptTail. It reports whether the listener can do that.
+func endAccept(l net.Listener) bool {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(acceptTail)) == nil
 }
 
 func (s *Server) isDraining() bool {
@@ -186,19 +208,42 @@
 	server *Server
 }
 
-// Accept implements net.Listener. While the server closes, a timeout means that the
-// backlog is empty.
+// Accept implements net.Listener. While the server closes, it ends once the backlog is
+// empty.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		if isTimeout(err) && l.server.isClosing() {
+	for {
+		raw, err := l.Listener.Accept()
+		if err == nil {
+			c := &conn{Conn: raw, idle: true, since: time.Now()}
+			l.server.add(c)
+			return c, nil
+		}
+		if !isTimeout(err) || !l.server.isClosing() {
+			return nil, err
+		}
+		if !hasBacklog(l.Listener) || !endAccept(l.Listener) {
 			return nil, net.ErrClosed
 		}
-		return nil, err
 	}
-	c := &conn{Conn: raw, idle: true, since: time.Now()}
-	l.server.add(c)
-	return c, nil
+}
+
+// hasBacklog reports whether a connection waits to be accepted. A deadline that has expired
+// doesn't tell: Accept then fails without a look at the backlog.
+func hasBacklog(l net.Listener) bool {
+	sys, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		ready, _ = unix.Poll(fds, 0) // an error counts as no connection
+	})
+	return err == nil && ready > 0
 }
 
 func isTimeout(err error) bool {
