edge: the quiet time of a stop is measured, not sampled

A stopping host began to refuse, and closed its listener, up to 0.4 s before its plan while short requests kept arriving.

TestShortRequestsAreNotTakenForAQuietTime failed before: a request sent before the refusal got no connection (status 0 instead of 200). Now the gateway keeps the time when the last request ended, and the quiet time is counted from that.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -16,6 +16,8 @@
 type requests interface {
 	// Active returns the number of requests in flight.
 	Active() int64
+	// LastActive returns now if requests are in flight, else when the last one ended.
+	LastActive(now time.Time) time.Time
 	// RejectNew has new requests rejected. It reports whether they were accepted before.
 	RejectNew() bool
 	// CutOff has the requests in flight answered at once.
@@ -41,13 +43,12 @@
 	*callerServer
 	begin     time.Time // of the stop
 	plan      stopPlan
-	busy      time.Time // when an accepted request was last active
 	closeIdle bool
 }
 
 // stop stops the server as planned. begin is the time of the stop signal.
 func (s *callerServer) stop(begin time.Time, plan stopPlan) {
-	r := &stopRun{callerServer: s, begin: begin, plan: plan, busy: begin}
+	r := &stopRun{callerServer: s, begin: begin, plan: plan}
 	s.server.StopKeepAlive()
 	t := time.NewTicker(stopPollInterval)
 	defer t.Stop()
@@ -63,10 +64,9 @@
 
 // step does what the plan says for this moment, and reports whether the stop ends.
 func (r *stopRun) step() (ended bool) {
-	if r.requests.Active() > 0 {
-		r.busy = time.Now()
-	}
-	action := r.plan.next(stopState{Spent: r.spent(), Quiet: time.Since(r.busy)})
+	now := time.Now()
+	quiet := min(now.Sub(r.requests.LastActive(now)), now.Sub(r.begin))
+	action := r.plan.next(stopState{Spent: now.Sub(r.begin), Quiet: quiet})
 	if action.CloseIdle {
 		r.closeIdleConnections()
 	}
--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -38,6 +38,7 @@
 
 	mu       sync.Mutex
 	accepted []time.Time // when requests were accepted
+	last     time.Time   // when the last request ended
 	events   []event.Event
 }
 
@@ -56,7 +57,16 @@
 	s.mu.Unlock()
 }
 
-func (s *stoppingServer) Active() int64   { return s.active.Load() }
+func (s *stoppingServer) Active() int64 { return s.active.Load() }
+func (s *stoppingServer) LastActive(now time.Time) time.Time {
+	if s.Active() > 0 {
+		return now
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
 func (s *stoppingServer) RejectNew() bool { return s.refuses.CompareAndSwap(false, true) }
 func (s *stoppingServer) CutOff()         { close(s.cutOff) }
 func (s *stoppingServer) LogCutOff()      {}
@@ -67,7 +77,12 @@
 		return
 	}
 	s.active.Add(1)
-	defer s.active.Add(-1)
+	defer func() {
+		s.mu.Lock()
+		s.last = time.Now()
+		s.mu.Unlock()
+		s.active.Add(-1)
+	}()
 	s.mu.Lock()
 	s.accepted = append(s.accepted, time.Now())
 	s.mu.Unlock()
@@ -248,3 +263,33 @@
 		require.Equal(t, http.StatusGatewayTimeout, <-got)
 	})
 }
+
+// Requests that are shorter than the time between two decisions keep a stop from ending as
+// if there had been none: up to the refusal, each is answered.
+func TestShortRequestsAreNotTakenForAQuietTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStoppingServer(stopPollInterval / 10)
+		begin := time.Now()
+		plan := planStop(6 * time.Second)
+		got := make(chan []int, 1)
+		go func() {
+			var all []int
+			time.Sleep(stopPollInterval / 3) // between two decisions
+			for time.Since(begin) < plan.refuseAfter-quietTime {
+				conn, err := s.network.Dial(context.Background(), "tcp", s.addr)
+				if err != nil {
+					all = append(all, 0)
+					break
+				}
+				all = append(all, send(conn))
+				_ = conn.Close() // the server closes it, too
+				time.Sleep(time.Until(begin.Add(time.Since(begin).Truncate(stopPollInterval) + 4*stopPollInterval + stopPollInterval/3)))
+			}
+			got <- all
+		}()
+		s.callers.stop(begin, plan)
+		for _, status := range <-got {
+			require.Equal(t, http.StatusOK, status)
+		}
+	})
+}
--- a/gateway/active.go
+++ b/gateway/active.go
@@ -9,8 +9,9 @@
 
 // activeRequests is the set of the requests that are neither answered nor refused.
 type activeRequests struct {
-	mu  sync.Mutex
-	all map[*request]struct{}
+	mu   sync.Mutex
+	all  map[*request]struct{}
+	last time.Time // when the last of them ended; zero if none has
 }
 
 func newActiveRequests() *activeRequests {
@@ -26,9 +27,20 @@
 func (a *activeRequests) remove(q *request) {
 	a.mu.Lock()
 	delete(a.all, q)
+	a.last = time.Now()
 	a.mu.Unlock()
 }
 
+// lastActive returns now if there are requests, else when the last of them ended.
+func (a *activeRequests) lastActive(now time.Time) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.all) > 0 {
+		return now
+	}
+	return a.last
+}
+
 func (a *activeRequests) count() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -50,6 +62,10 @@
 // Active returns the number of requests in flight.
 func (g *Gateway) Active() int64 { return g.active.count() }
 
+// LastActive returns now if requests are in flight, else when the last one ended, and the
+// zero time if there was none.
+func (g *Gateway) LastActive(now time.Time) time.Time { return g.active.lastActive(now) }
+
 // CutOff ends the requests in flight: each is answered with what is known of it, that it
 // was not run or that its outcome is unknown. New requests must be rejected before.
 func (g *Gateway) CutOff() { g.end() }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -117,3 +117,18 @@
 		require.Zero(t, b.runCount("r1"))
 	})
 }
+
+func TestLastActive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newActiveRequests()
+		require.Zero(t, a.lastActive(time.Now()))
+		q := &request{}
+		a.add(q)
+		time.Sleep(time.Second)
+		require.Equal(t, time.Now(), a.lastActive(time.Now()))
+		a.remove(q)
+		ended := time.Now()
+		time.Sleep(time.Second)
+		require.Equal(t, ended, a.lastActive(time.Now()))
+	})
+}
