edge: requests that a stop gives up are answered, however late the stop is

A stop that reached the end of its plan late, by answerTime (100 ms) or more, gave up the requests in flight and closed their connections in the same moment: no answer. A host with a share of a core may stand still for that long.

TestLateStopAnswersTheRequestsItGivesUp failed before with status 0 instead of 504.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -91,26 +91,26 @@
 }
 
 // drain closes the listener and ends the connections once they have no request. Requests
-// that are active at the end of the plan are given up.
+// that are active at the end of the plan are given up. They have answerTime from then on,
+// however late that is.
 func (r *stopRun) drain() {
-	if r.drainUntil(r.plan.end) == 0 {
+	if r.drainUntil(r.begin.Add(r.plan.end)) == 0 {
 		return
 	}
 	if active := r.requests.Active(); active > 0 {
 		r.log(event.RequestsDropped{AfterMS: r.spentMS(), Active: active})
 	}
 	r.requests.CutOff()
-	if left := r.drainUntil(r.plan.end + answerTime); left > 0 {
+	if left := r.drainUntil(time.Now().Add(answerTime)); left > 0 {
 		r.log(event.ConnectionsLeft{Active: r.requests.Active(), Connections: left})
 		r.requests.LogCutOff()
 	}
 	_ = r.server.Close() // the connections that are left belong to no request that can be answered
 }
 
-// drainUntil drains the server until a time after the stop signal. It returns the number
-// of connections that are left.
-func (r *stopRun) drainUntil(end time.Duration) int {
-	ctx, cancel := context.WithDeadline(context.Background(), r.begin.Add(end))
+// drainUntil drains the server. It returns the number of connections that are left.
+func (r *stopRun) drainUntil(end time.Time) int {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	return r.server.Drain(ctx)
 }
--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -293,3 +293,21 @@
 		}
 	})
 }
+
+// A process that got no CPU until after the end of its plan still answers the requests that it
+// gives up, before it closes their connections.
+func TestLateStopAnswersTheRequestsItGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStoppingServer(time.Minute)
+		conn := s.dial(t)
+		defer conn.Close()
+		got := make(chan int, 1)
+		go func() { got <- send(conn) }()
+		synctest.Wait()
+		plan := planStop(6 * time.Second)
+		late := time.Now()
+		s.callers.stop(late.Add(-plan.end-2*answerTime), plan)
+		require.LessOrEqual(t, time.Since(late), answerTime)
+		require.Equal(t, http.StatusGatewayTimeout, <-got)
+	})
+}
