cluster: the settings may be reloaded while a host starts

A SIGHUP that arrived between the registration of the signal and the start of the cluster ended the process: cmd/lacewingsaddle-edge handles it before the app has started, and the cluster's context was made in Start. Class: a moment that may pass unseen.

TestSeedsMayChangeBeforeTheStart failed before: "invalid memory address or nil pointer dereference". The context is made in New; what is posted waits in the queue until the control goroutine runs. The package's tests passed once.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -128,6 +128,7 @@
 		followerWake: make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
 	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.machine = assigner.New(assigner.Config{
 		Self:               cfg.Self,
 		Lease:              lease,
@@ -168,7 +169,6 @@
 
 // Start starts the control goroutine, the watches and the exchange with other hosts.
 func (c *Cluster) Start() {
-	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, f := range []func(){c.run, c.watchConfig, c.watchServers, c.watchHosts, c.follow, c.sendUrgent} {
 		c.goroutines.Add(1)
 		go func() {
--- a/cluster/restart_test.go
+++ b/cluster/restart_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lacewingsaddle/lacewingsaddle/assigner"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
@@ -201,3 +202,11 @@
 		require.Less(t, w.store.takeReaders(), hosts/10)
 	})
 }
+
+// Guards against a process that ended because a SIGHUP arrived while it started.
+func TestSeedsMayChangeBeforeTheStart(t *testing.T) {
+	c := New(Config{Self: assigner.Host{Name: "h0"}, HoldMax: 10 * time.Second}, nil, nil, nil, zap.NewNop())
+	require.NotPanics(t, func() { c.SetSeeds([]string{"h1"}) })
+	(<-c.events)()
+	require.Equal(t, []string{"h1"}, c.cfg.Seeds)
+}
