assigner: a resignation during an append is recorded once that has ended

It went on planning and did not adopt its own records; its keys got a successor only when the epoch was found abandoned. Resign sets a flag now; the resignation follows with the next tick at which the store is free, and nothing is planned any more.

--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -208,7 +208,7 @@
 		rec := *m.pending
 		m.pending, m.end = nil, e.End
 		m.known = rec
-		if m.role == leading && !m.resigned {
+		if m.role == leading {
 			m.confirmedAt = max(m.confirmedAt, e.Start)
 			m.adopt(now, rec)
 		} else if !m.resigned {
@@ -245,13 +245,15 @@
 	m.heardAt, m.lostAt = now, now
 }
 
-// Resign gives up the epoch before a planned stop.
+// Resign gives up the epoch before a planned stop: at once, or when the append that is
+// outstanding has ended.
 func (m *Machine) Resign(now Time) {
-	if m.resigned {
-		return
-	}
 	m.resigned = true
-	if m.role != leading || !m.mayAct(now) || m.storeBusy {
+	m.resignIfLeading(now)
+}
+
+func (m *Machine) resignIfLeading(now Time) {
+	if !m.resigned || m.role != leading || !m.mayAct(now) || m.storeBusy || m.pending != nil || now < m.storeRetryAt {
 		return
 	}
 	rec := m.record()
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -52,6 +52,10 @@
 	if !m.mayAct(now) {
 		return
 	}
+	m.resignIfLeading(now)
+	if m.role != leading {
+		return
+	}
 	m.requestProbes(now)
 	m.planWhenDue(now)
 	m.decideAdmission(now)
@@ -84,7 +88,7 @@
 }
 
 func (m *Machine) planWhenDue(now Time) {
-	if m.pending != nil || m.storeBusy || now < m.storeRetryAt || now-m.plannedAt < planInterval {
+	if m.resigned || m.pending != nil || m.storeBusy || now < m.storeRetryAt || now-m.plannedAt < planInterval {
 		return
 	}
 	m.plannedAt = now
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -10,23 +10,16 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
 	// quietTime is how long a connection must have been without a request before it is
 	// closed. On a new connection the request follows soon.
 	quietTime = 100 * time.Millisecond
-	// acceptTail is how long a closing listener waits for connections. Those in its
-	// backlog, which would be reset, are accepted after it, too.
-	acceptTail = 10 * time.Millisecond
 	// acceptLimit is the time for the backlog, also in a drain that has less.
 	acceptLimit  = 200 * time.Millisecond
 	pollInterval = 10 * time.Millisecond
@@ -179,12 +172,6 @@
 	}
 }
 
-// endAccept has Accept end after acceptTail. It reports whether the listener can do that.
-func endAccept(l net.Listener) bool {
-	d, ok := l.(interface{ SetDeadline(time.Time) error })
-	return ok && d.SetDeadline(time.Now().Add(acceptTail)) == nil
-}
-
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,85 +220,3 @@
 		c.release()
 	}
 }
-
-// listener registers the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
-	slots  chan struct{} // holds one for each open connection; nil if there is no limit
-}
-
-func newListener(l net.Listener, s *Server) *listener {
-	out := &listener{Listener: l, server: s}
-	if s.MaxConns > 0 {
-		out.slots = make(chan struct{}, s.MaxConns)
-	}
-	return out
-}
-
-// acquire waits until the limit on connections admits one more, or the server closes. It
-// returns what releases the place.
-func (l *listener) acquire() (release func()) {
-	if l.slots == nil {
-		return func() {}
-	}
-	select {
-	case l.slots <- struct{}{}:
-		return sync.OnceFunc(func() { <-l.slots })
-	case <-l.server.ended:
-		return func() {}
-	}
-}
-
-// Accept implements net.Listener. While the server closes, it ends once the backlog is
-// empty.
-func (l *listener) Accept() (net.Conn, error) {
-	release := l.acquire()
-	raw, err := l.accept()
-	if err != nil {
-		release()
-		return nil, err
-	}
-	c := &conn{Conn: raw, idle: true, since: time.Now(), release: release}
-	l.server.add(c)
-	return c, nil
-}
-
-func (l *listener) accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err == nil {
-			return raw, nil
-		}
-		if !isTimeout(err) || !l.server.isClosing() {
-			return nil, err
-		}
-		if !hasBacklog(l.Listener) || !endAccept(l.Listener) {
-			return nil, net.ErrClosed
-		}
-	}
-}
-
-// hasBacklog reports whether a connection waits to be accepted. A deadline that has expired
-// doesn't tell: Accept then fails without a look at the backlog.
-func hasBacklog(l net.Listener) bool {
-	sys, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		ready, _ = unix.Poll(fds, 0) // an error counts as no connection
-	})
-	return err == nil && ready > 0
-}
-
-func isTimeout(err error) bool {
-	var e net.Error
-	return errors.As(err, &e) && e.Timeout()
-}
