--- a/event/request.go
+++ b/event/request.go
@@ -162,6 +162,7 @@
 	Request string        `json:"request"`
 	Route   string        `json:"route"`
 	Service string        `json:"service"`
+	Server  string        `json:"server,omitempty"` // full owner of the key, if it was refused for that
 	Keyed   bool          `json:"keyed"`
 	Key     uint16        `json:"key"`
 	Status  int           `json:"status"`
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -125,7 +125,7 @@
 	}
 	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
 	if s == nil && !pauseEnd.IsZero() {
-		return nil, fullError(pauseEnd)
+		return nil, allFullError(pauseEnd)
 	}
 	if s == nil {
 		return nil, notRun(fault.NoOwner, "the service has no backend server", retryAfterDefault)
@@ -175,7 +175,7 @@
 	}
 	switch v := g.checkServer(q, s.Holder); v.Standing {
 	case eligibility.Full:
-		return nil, fullError(v.Until)
+		return nil, ownerFullError(s, v)
 	case eligibility.Leaving:
 		return nil, nil
 	}
--- a/gateway/standing.go
+++ b/gateway/standing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -244,13 +245,29 @@
 	}
 }
 
-// fullError refuses a request that only full servers could run.
-func fullError(until time.Time) *fault.Error {
-	e := fault.New(fault.NotAccepted, "every backend server that could run the request is full and asked for a pause")
+// ownerFullError refuses a request whose key's owner is full.
+func ownerFullError(s *server, v eligibility.Verdict) *fault.Error {
+	e := fault.Wrap(fault.NotAccepted, &ineligible{s.Holder.ID, v}, "the key's owner asked for a pause")
+	e.RetryAfter = pauseLeft(v.Until)
+	return e
+}
+
+// allFullError refuses a request that only full servers could run.
+func allFullError(until time.Time) *fault.Error {
+	e := fault.New(fault.NotAccepted, "every backend server of the service is full and asked for a pause")
 	e.RetryAfter = pauseLeft(until)
 	return e
 }
 
+// refusedFor returns the id of the server for whose sake err refuses a request, or "".
+func refusedFor(err error) string {
+	var e *ineligible
+	if errors.As(err, &e) {
+		return e.server
+	}
+	return ""
+}
+
 // pauseLeft is the time until the end of a pause, rounded up to a full millisecond as
 // Retry-After has no finer unit.
 func pauseLeft(until time.Time) time.Duration {
--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -456,6 +459,21 @@
 	})
 }
 
+// The line of a request that is refused for its full owner names the server.
+func TestRefusalNamesTheFullOwner(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		core, logs := observer.New(zapcore.InfoLevel)
+		b.gateway.logger = zap.New(core)
+		b.watch(map[string]*scripted{"s1": {status: 503, lines: "Retry-After: 2\r\n"}})
+		b.refusedIn(t, "/book/1", "a")
+		b.refusedIn(t, "/book/1", "b")
+		refused := logs.FilterMessage("gateway: request not answered").All()
+		require.Len(t, refused, 2)
+		require.Equal(t, "s1", refused[1].ContextMap()["server"])
+		require.Contains(t, refused[1].ContextMap()["error"], "s1 is full")
+	})
+}
+
 // Both headers in one answer: nothing goes to the server during the pause, and nothing
 // without a key afterwards.
 func TestBothHeadersInOneAnswer(t *testing.T) {
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -150,6 +150,7 @@
 		Request:   q.id,
 		Route:     q.routeName(),
 		Service:   q.serviceName(),
+		Server:    refusedFor(err),
 		Keyed:     q.keyed,
 		Key:       uint16(q.key),
 		Status:    status,
--- a/requestlog/findings.go
+++ b/requestlog/findings.go
@@ -59,7 +59,7 @@
 	fault.NoOwner:        "No backend server of the service was ready.",
 	fault.QueueTimeout:   "This host already had as many requests outstanding at the key's owner as are answered in time: the server was overloaded.",
 	fault.Overloaded:     "This host's share of the server's connections was fully in use.",
-	fault.NotAccepted:    "The server shed the request; it was full or about to stop.",
+	fault.NotAccepted:    "The server shed the request, or had asked for a pause before it; it was full or about to stop.",
 	fault.StaleToken:     "The server did not hold the key: it had moved, or its grant had run out.",
 	fault.Refused:        "No process listened at the server's address.",
 	fault.DialFailed:     "No connection to the server could be opened: it is unreachable, or its process has ended.",
@@ -92,6 +92,8 @@
 		return fmt.Sprintf("%s saw %s leave the list of backend servers.", step.Host, e.ID)
 	case event.ServerRestarted:
 		return fmt.Sprintf("%s saw %s restart.", step.Host, e.ID)
+	case event.StandingBegun, event.HeaderUnreadable:
+		return fmt.Sprintf("To %s, %s.", step.Host, step.Text)
 	case event.RoleChanged:
 		if e.Assigner {
 			return fmt.Sprintf("%s became the assigner of epoch %d, after %.0f ms without one.", step.Host, e.Epoch, e.SilenceMS)
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -20,6 +20,9 @@
 	// considered. It is longer than it takes to grant a lost server's keys to new
 	// owners.
 	contextBefore = 6 * time.Second
+	// standingBefore is how long before the request a backend server may have said that
+	// it leaves or is full.
+	standingBefore = 10 * time.Minute
 	// contextAfter is how long after the request such lines are still considered.
 	contextAfter = time.Second
 	// maxLineBytes is the maximum length of a line, in bytes. A log with a longer line
@@ -129,7 +132,7 @@
 		}
 		return
 	}
-	if line.Time.Before(s.first.Add(-contextBefore)) || line.Time.After(s.last.Add(contextAfter)) {
+	if line.Time.Before(s.first.Add(-beforeOf(line.Event))) || line.Time.After(s.last.Add(contextAfter)) {
 		return
 	}
 	if s.concerns(line) {
@@ -137,6 +140,15 @@
 	}
 }
 
+// beforeOf returns how long before the request a line is considered.
+func beforeOf(e event.Event) time.Duration {
+	switch e.(type) {
+	case event.StandingBegun, event.StandingEnded:
+		return standingBefore
+	}
+	return contextBefore
+}
+
 func stepOf(l event.Line) Step {
 	return Step{Time: l.Time, Host: l.Host, Message: event.Message(l.Event), Text: l.Event.Text(), Event: l.Event}
 }
--- a/requestlog/requestlog_test.go
+++ b/requestlog/requestlog_test.go
@@ -118,6 +118,23 @@
 	require.Contains(t, x.Findings, `entry-1 left out 90 lines of "gateway: request not answered".`)
 }
 
+// A request that was refused without a send because its key's owner had asked for a pause
+// long before is explained by that, but not by what other hosts or servers said.
+func TestRequestRefusedWhileItsOwnerIsFull(t *testing.T) {
+	full := func(server string) event.StandingBegun {
+		return event.StandingBegun{Server: server, StartedMS: 1, Standing: "full", Source: "answer", Until: "2026-12-04T10:01:00Z"}
+	}
+	entry := &hostLog{host: "entry-1"}
+	entry.at(-40_000, full("s1")).at(-40_000, full("s2")).
+		at(0, event.RequestRefused{Request: "r1", Service: "stock", Server: "s1", Keyed: true, Key: 7, Status: 503, Outcome: fault.NotRun, Kind: fault.NotAccepted})
+	other := &hostLog{host: "entry-2"}
+	other.at(-10, full("s1"))
+	x, err := Explain("r1", []Log{entry, other})
+	require.NoError(t, err)
+	require.Equal(t, []string{"entry-1 gateway: backend server leaves or is full"}, texts(x.Context))
+	require.Contains(t, x.Findings, "To entry-1, s1 is full by its answer and is sent nothing until 2026-12-04T10:01:00Z.")
+}
+
 // Every event that ends a request has an outcome sentence, and so has a log without
 // such an event.
 func TestOutcomes(t *testing.T) {
--- a/requestlog/subject.go
+++ b/requestlog/subject.go
@@ -47,6 +47,9 @@
 		s.servers[e.Server] = true
 	case event.RequestRefused:
 		s.service = e.Service
+		if e.Server != "" {
+			s.servers[e.Server] = true
+		}
 		s.setKey(e.Keyed, e.Key)
 	}
 }
@@ -78,6 +81,12 @@
 		return s.servers[e.ID]
 	case event.ServerGone:
 		return s.servers[e.ID]
+	case event.StandingBegun:
+		return s.hosts[l.Host] && s.servers[e.Server]
+	case event.StandingEnded:
+		return s.hosts[l.Host] && s.servers[e.Server]
+	case event.HeaderUnreadable:
+		return s.hosts[l.Host] && s.servers[e.Server]
 	case event.SuspectProbed:
 		return s.servers[e.Server]
 	case event.ServersSuspected:
