--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -104,7 +104,9 @@
 }
 
 // StatusCmd prints the status.
-type StatusCmd struct{}
+type StatusCmd struct {
+	Logs []string `arg:"--logs" placeholder:"FILE" help:"with --store: show too which backend servers leave or are full, by the logs of entry hosts"`
+}
 
 // HostsCmd lists entry hosts.
 type HostsCmd struct{}
@@ -116,8 +118,9 @@
 
 // OwnersCmd lists owners.
 type OwnersCmd struct {
-	Key     string `arg:"positional"`
-	Service string `arg:"--service" help:"default: every service that is sharded by key"`
+	Key     string   `arg:"positional"`
+	Service string   `arg:"--service" help:"default: every service that is sharded by key"`
+	Logs    []string `arg:"--logs" placeholder:"FILE" help:"with --store: show too which owners leave or are full, by the logs of entry hosts"`
 }
 
 // ExplainCmd explains a key or a request.
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -114,6 +114,7 @@
 			{s, "pin inventario k --to none --reason x", ExitNotFound, "declares no server"},
 			{s, "drain inventario inv-01 --reason x --wait maybe", ExitInvalid, "--wait"},
 			{s, "audit --since yesterday", ExitInvalid, "--since"},
+			{s, "status --logs x.log", ExitInvalid, "--logs needs --store"},
 			{s, "completion tcsh", ExitInvalid, "tcsh"},
 			{reader, "drain inventario inv-01 --reason x", ExitDenied, "write token"},
 		}
--- a/cli/run.go
+++ b/cli/run.go
@@ -68,6 +68,8 @@
 		return s.documentHandler(a.Profile, "profile")
 	case a.Service != nil:
 		return s.documentHandler(a.Service, "service")
+	case a.Store == "" && (a.Status != nil && len(a.Status.Logs) > 0 || a.Owners != nil && len(a.Owners.Logs) > 0):
+		return func(context.Context) error { return fault.New(fault.BadRequest, "--logs needs --store here") }
 	case a.Store != "" && a.Status != nil:
 		return s.storeStatus
 	case a.Store != "" && a.Owners != nil:
--- a/cli/storeview.go
+++ b/cli/storeview.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -25,8 +27,73 @@
 	if err != nil {
 		return err
 	}
-	st := d.Status()
-	return s.print(st, func(t *table) { t.storeStatus(st) })
+	st := judgedStatus{Status: d.Status()}
+	if st.Judgements, err = judgements(s.args.Status.Logs); err != nil {
+		return err
+	}
+	return s.print(st, func(t *table) {
+		t.storeStatus(st.Status)
+		t.judgements(st.Judgements)
+	})
+}
+
+// judgedStatus is the store's status with what the hosts' logs say of servers.
+type judgedStatus struct {
+	storeview.Status
+	Judgements []requestlog.Judgement `json:"judgements,omitempty"`
+}
+
+// judgedOwner is a range with what the hosts' logs say of its owner.
+type judgedOwner struct {
+	storeview.Owner
+	Judgements []requestlog.Judgement `json:"judgements,omitempty"`
+}
+
+// judgements reads the judgements in force from log files.
+func judgements(paths []string) ([]requestlog.Judgement, error) {
+	if len(paths) == 0 {
+		return nil, nil
+	}
+	return requestlog.Judgements(logFiles(paths))
+}
+
+// judgements prints one line for each judgement.
+func (t *table) judgements(list []requestlog.Judgement) {
+	if len(list) == 0 {
+		return
+	}
+	t.row("SERVER", "JUDGED", "BY ITS", "UNTIL", "BY HOST")
+	for _, j := range list {
+		t.row(j.Server, j.Standing, j.Source, j.Until, j.Host)
+	}
+}
+
+// withJudgements adds to each range the judgements on its owner.
+func withJudgements(owners []storeview.Owner, list []requestlog.Judgement) []judgedOwner {
+	out := make([]judgedOwner, 0, len(owners))
+	for _, o := range owners {
+		v := judgedOwner{Owner: o}
+		for _, j := range list {
+			if j.Server == o.Server && j.StartedMS == o.StartedMS {
+				v.Judgements = append(v.Judgements, j)
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// text lists the judgements on an owner as "leaving (hosts: 2)".
+func (o judgedOwner) text() string {
+	count := map[string]int{}
+	for _, j := range o.Judgements {
+		count[j.Standing]++
+	}
+	var parts []string
+	for _, standing := range slices.Sorted(maps.Keys(count)) {
+		parts = append(parts, standing+" (hosts: "+strconv.Itoa(count[standing])+")")
+	}
+	return orDash(strings.Join(parts, ", "))
 }
 
 func (t *table) storeStatus(st storeview.Status) {
@@ -58,14 +125,19 @@
 	if err != nil {
 		return err
 	}
-	list, err := d.Owners(filter)
+	owners, err := d.Owners(filter)
 	if err != nil {
 		return err
 	}
+	said, err := judgements(s.args.Owners.Logs)
+	if err != nil {
+		return err
+	}
+	list := withJudgements(owners, said)
 	return s.print(list, func(t *table) {
-		t.row("SERVICE", "FROM", "TO", "SERVER", "ADDRESS", "STATE", "TOKEN", "MAY STILL HOLD")
+		t.row("SERVICE", "FROM", "TO", "SERVER", "ADDRESS", "STATE", "TOKEN", "MAY STILL HOLD", "JUDGED")
 		for _, o := range list {
-			t.row(o.Service, o.From, o.To, o.Server, orDash(o.Address), o.State, o.Fence, orDash(strings.Join(o.Prior, " ")))
+			t.row(o.Service, o.From, o.To, o.Server, orDash(o.Address), o.State, o.Fence, orDash(strings.Join(o.Prior, " ")), o.text())
 		}
 	})
 }
@@ -76,13 +148,18 @@
 // Open implements requestlog.Log.
 func (f logFile) Open() (io.ReadCloser, error) { return os.Open(string(f)) }
 
-// explainLogs explains a request from the hosts' logs.
-func (s *session) explainLogs(context.Context) error {
-	logs := make([]requestlog.Log, 0, len(s.args.Explain.Logs))
-	for _, path := range s.args.Explain.Logs {
+// logFiles returns the logs at the given paths.
+func logFiles(paths []string) []requestlog.Log {
+	logs := make([]requestlog.Log, 0, len(paths))
+	for _, path := range paths {
 		logs = append(logs, logFile(path))
 	}
-	x, err := requestlog.Explain(s.args.Explain.Subject, logs)
+	return logs
+}
+
+// explainLogs explains a request from the hosts' logs.
+func (s *session) explainLogs(context.Context) error {
+	x, err := requestlog.Explain(s.args.Explain.Subject, logFiles(s.args.Explain.Logs))
 	if err != nil {
 		return err
 	}
--- a/storeview/storeview.go
+++ b/storeview/storeview.go
@@ -135,9 +135,12 @@
 	From    keyrange.Key `json:"from"`
 	To      keyrange.Key `json:"to"`
 	Server  string       `json:"server"`
-	Address string       `json:"address"`
-	State   string       `json:"state"` // of the server; "not listed" or "restarted" if the owning process is gone
-	Fence   uint64       `json:"fence"`
+	// StartedMS is the start of the server's process that the range was granted to, in
+	// Unix milliseconds.
+	StartedMS int64  `json:"born"`
+	Address   string `json:"address"`
+	State     string `json:"state"` // of the server; "not listed" or "restarted" if the owning process is gone
+	Fence     uint64 `json:"fence"`
 	// Prior lists earlier owners that may still hold keys of the range.
 	Prior []string `json:"prior,omitempty"`
 }
@@ -169,7 +172,7 @@
 }
 
 func (d *Deployment) owner(service string, r keyrange.Range) Owner {
-	out := Owner{Service: service, From: r.From, To: r.To, Server: r.Owner.ID, State: d.stateOf(r.Owner), Fence: uint64(r.Fence)}
+	out := Owner{Service: service, From: r.From, To: r.To, Server: r.Owner.ID, StartedMS: r.Owner.StartedMS, State: d.stateOf(r.Owner), Fence: uint64(r.Fence)}
 	if v := d.servers.Find(r.Owner.ID); v != nil {
 		out.Address = v.Address
 	}
