--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -98,39 +98,58 @@
 // that q was sent to before are used only if there are already as many of them as
 // the route's Attempts, or if no other server is left.
 func (g *Gateway) pickServer(q *request) (*server, error) {
+	o := g.options(q)
+	list := o.untried
+	if len(q.tried) >= q.route.Attempts || len(list) == 0 {
+		list = o.tried
+	}
+	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
+	switch {
+	case s != nil:
+		return s, nil
+	case !o.pauseEnd.IsZero():
+		return nil, allFullError(o.pauseEnd)
+	}
+	return nil, notRun(fault.NoOwner, "the service has no backend server", retryAfterDefault)
+}
+
+// options are the servers that a request may be sent to.
+type options struct {
+	untried, tried []*server
+	pauseEnd       time.Time // the earliest end of the full servers' pauses; zero if none is full
+}
+
+// options returns the eligible servers of q's service.
+func (g *Gateway) options(q *request) options {
 	view := g.view()
-	var list, tried []*server
-	var pauseEnd time.Time // the earliest of the full servers
+	var o options
 	for i := range view.Servers.Servers {
 		v := &view.Servers.Servers[i]
 		if v.Service != q.service.Name {
 			continue
 		}
-		verdict := g.checkServer(q, v.Holder)
-		if verdict.Standing == eligibility.Full && (pauseEnd.IsZero() || verdict.Until.Before(pauseEnd)) {
-			pauseEnd = verdict.Until
-		}
-		if !verdict.Allowed() {
-			continue
-		}
-		s := g.server(v, q, view)
-		if q.triedBefore(v.Holder.ID) {
-			tried = append(tried, s)
-		} else {
-			list = append(list, s)
+		switch verdict := g.checkServer(q, v.Holder); verdict.Standing {
+		case eligibility.Eligible:
+			o.add(g.server(v, q, view), q.triedBefore(v.Holder.ID))
+		case eligibility.Full:
+			o.addPause(verdict.Until)
 		}
 	}
-	if len(q.tried) >= q.route.Attempts || len(list) == 0 {
-		list = tried
-	}
-	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
-	if s == nil && !pauseEnd.IsZero() {
-		return nil, allFullError(pauseEnd)
+	return o
+}
+
+func (o *options) add(s *server, tried bool) {
+	if tried {
+		o.tried = append(o.tried, s)
+	} else {
+		o.untried = append(o.untried, s)
 	}
-	if s == nil {
-		return nil, notRun(fault.NoOwner, "the service has no backend server", retryAfterDefault)
+}
+
+func (o *options) addPause(end time.Time) {
+	if o.pauseEnd.IsZero() || end.Before(o.pauseEnd) {
+		o.pauseEnd = end
 	}
-	return s, nil
 }
 
 func (g *Gateway) server(v *directory.Server, q *request, view *cluster.View) *server {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -79,14 +79,11 @@
 	if q.remaining() < q.target()/4 {
 		return event.ReasonNoTime
 	}
-	switch {
-	case g.ownerPause(q, s) > 0:
+	if g.ownerPause(q, s) > 0 {
 		return event.ReasonFull
-	case !q.keyed || !g.standings.isLeaving(s.Holder):
-	case !g.waitForNewOwner(q, s, q.ownerWait()):
-		return event.ReasonNoNewOwner
-	default:
-		return g.takeRetry(q)
+	}
+	if q.keyed && g.standings.isLeaving(s.Holder) {
+		return g.checkRetryLeft(q, s)
 	}
 	if why := g.takeRetry(q); why != "" {
 		return why
@@ -94,6 +91,15 @@
 	return q.backOffForOwner()
 }
 
+// checkRetryLeft is checkRetry for a request that its key's owner shed as it leaves. Only
+// another owner can run it.
+func (g *Gateway) checkRetryLeft(q *request, s *server) event.Reason {
+	if !g.waitForNewOwner(q, s, q.ownerWait()) {
+		return event.ReasonNoNewOwner
+	}
+	return g.takeRetry(q)
+}
+
 // checkRetryOverloaded is checkRetry for a request for which no connection could be
 // opened because a limit on connections was reached. Such a retry is not counted
 // against the budget.
--- /dev/null
+++ b/gateway/standings.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/eligibility"
+	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
+)
+
+const (
+	// defaultDrain applies if the drain time is not configured.
+	defaultDrain = 2 * time.Second
+	// reportLeavingEvery is the interval at which the assigner is told again of a server
+	// that leaves while the directory lists it as ready: the report may have been lost,
+	// and another host may be the assigner now.
+	reportLeavingEvery = 3 * time.Second
+)
+
+// standings holds the judgements on the backend servers, from the directory and from the
+// servers' answers.
+type standings struct {
+	mu       sync.Mutex
+	book     *eligibility.Book
+	listed   *directory.Snapshot // applied to book last
+	reported time.Time           // when the leaving servers were last reported again
+}
+
+func newStandings(drain time.Duration) *standings {
+	if drain <= 0 {
+		drain = defaultDrain
+	}
+	return &standings{book: eligibility.NewBook(drain)}
+}
+
+// check decides whether a request may be sent to h now.
+func (s *standings) check(h keyrange.Holder, r eligibility.Request) eligibility.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Check(h, time.Now(), r)
+}
+
+// isLeaving reports whether h leaves.
+func (s *standings) isLeaving(h keyrange.Holder) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.IsLeaving(h)
+}
+
+func (s *standings) answered(h keyrange.Holder, a eligibility.Signal) []eligibility.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Answered(h, time.Now(), a)
+}
+
+func (s *standings) expire() []eligibility.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Expire(time.Now())
+}
+
+// follow returns the current view after it has applied its directory. Views are applied
+// in their order.
+func (s *standings) follow(control Control) (*cluster.View, []eligibility.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view := control.View()
+	if view.Servers == s.listed {
+		return view, nil
+	}
+	s.listed = view.Servers
+	return view, s.book.Listed(time.Now(), view.Servers)
+}
+
+// unnoticed returns the servers that said that they leave and are still listed as ready,
+// if it is time to report them again.
+func (s *standings) unnoticed(now time.Time) []keyrange.Holder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listed == nil || now.Sub(s.reported) < reportLeavingEvery {
+		return nil
+	}
+	s.reported = now
+	var out []keyrange.Holder
+	for _, h := range s.book.LeavingByAnswer() {
+		if v := s.listed.Find(h.ID); v != nil && v.Holder == h && v.State == directory.Ready {
+			out = append(out, h)
+		}
+	}
+	return out
+}
