--- a/gateway/full_test.go
+++ b/gateway/full_test.go
@@ -18,7 +18,7 @@
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
 		s1 := &scripted{status: 503, lines: "Retry-After: 2\r\n", takes: 100 * time.Millisecond}
 		a := b.watch(map[string]*scripted{"s1": s1})
-		done := b.occupy(a, "/book/1", "s1")
+		done := b.occupy("/book/1")
 		start := time.Now()
 		var waiting sync.WaitGroup
 		for i := range 4 {
@@ -60,6 +60,19 @@
 	})
 }
 
+// Retry-After asks for a pause only in a 503.
+func TestRetryAfterOfOtherAnswersIsNoPause(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		s1 := sound()
+		b.watch(map[string]*scripted{"s1": s1})
+		for _, status := range []int{200, 301, 413, 429, 500} {
+			s1.set(status, "Retry-After: 60\r\n")
+			require.Equal(t, status, b.send("POST", "/book/1", fmt.Sprint(status), "x").Code)
+		}
+		require.Empty(t, b.control.full)
+	})
+}
+
 // While every server of a service is full, requests are refused at once, until the first
 // pause ends.
 func TestEveryServerIsFull(t *testing.T) {
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -139,7 +139,7 @@
 		o1 := &scripted{status: 200, lines: leavingLine, takes: 100 * time.Millisecond}
 		a := b.watch(map[string]*scripted{"o1": o1, "o2": sound()})
 		b.list(map[string]directory.State{"o2": directory.Draining})
-		done := b.occupy(a, "/order/1", "o1")
+		done := b.occupy("/order/1")
 		served := make(chan string, 4)
 		for i := range 4 {
 			go func() { served <- b.send("POST", "/order/1", fmt.Sprint("waits", i), "x").Body.String() }()
@@ -155,6 +155,30 @@
 	})
 }
 
+// Requests that wait for room at a server are placed anew as soon as the directory says
+// that it drains, also while none of its requests ends.
+func TestQueuedRequestsLeaveADrainingServer(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		a := b.watch(map[string]*scripted{"o1": {status: 200, takes: 250 * time.Millisecond}, "o2": sound()})
+		b.list(map[string]directory.State{"o2": directory.Draining})
+		done := b.occupy("/order/1")
+		served := make(chan string, 4)
+		for i := range 4 {
+			go func() { served <- b.send("POST", "/order/1", fmt.Sprint("waits", i), "x").Body.String() }()
+		}
+		synctest.Wait()
+		start := time.Now()
+		b.list(map[string]directory.State{"o1": directory.Draining, "o2": directory.Ready})
+		b.gateway.Sweep()
+		for range 4 {
+			require.Equal(t, "o2", <-served)
+		}
+		require.Less(t, time.Since(start), 50*time.Millisecond)
+		done.Wait()
+		require.Equal(t, minConnections, a.count("o1"), "requests in flight are not cut off")
+	})
+}
+
 // Kept connections to a server that leaves are closed once they are idle.
 func TestConnectionsToLeavingServerAreClosed(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
@@ -166,11 +190,12 @@
 			open++
 			return &countedConn{c, &open}, err
 		}
-		require.Equal(t, 200, b.send("POST", "/book/1", "a", "x").Code)
-		require.Equal(t, 1, open, "it is kept")
+		s1.takes = 10 * time.Millisecond
+		b.occupy("/book/1").Wait()
+		require.Equal(t, minConnections, open, "they are kept")
 		s1.set(200, leavingLine)
 		require.Equal(t, 200, b.send("POST", "/book/1", "b", "x").Code)
-		require.Zero(t, open)
+		require.Zero(t, open, "also those that were idle before")
 	})
 }
 
--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -136,7 +139,7 @@
 
 // occupy keeps as many requests in flight at the only server of a service as it may have,
 // and returns when they are.
-func (b *testGateway) occupy(a *arrivals, path, server string) *sync.WaitGroup {
+func (b *testGateway) occupy(path string) *sync.WaitGroup {
 	b.control.change(func(v *cluster.View) { v.Hosts = 60 }) // the limit is minConnections
 	var done sync.WaitGroup
 	for i := range minConnections {
@@ -162,15 +165,22 @@
 					}
 					return b.dial(ctx, network, addr)
 				}
+				core, logs := observer.New(zapcore.InfoLevel)
+				b.gateway.logger = zap.New(core)
+				held := requestID(true)
 				served := make(chan string, 2)
-				for i := range 2 {
-					go func() { served <- b.send("POST", "/order/1", fmt.Sprint(i), "x").Body.String() }()
+				for _, id := range []string{"first", held} {
+					go func() { served <- b.send("POST", "/order/1", id, "x").Body.String() }()
 					synctest.Wait()
 				}
 				b.list(map[string]directory.State{"o2": directory.Ready})
 				require.Equal(t, "o2", <-served)
 				require.Equal(t, "o2", <-served)
 				require.Equal(t, 1, a.count("o1"))
+				require.Zero(t, b.gateway.servers.find(holder("o1")).stats(time.Now()).outstanding)
+				sent := logs.FilterMessage("gateway: request sent").FilterField(zap.String("request", held)).FilterField(zap.String("server", "o2")).All()
+				require.Len(t, sent, 1)
+				require.EqualValues(t, 1, sent[0].ContextMap()["send"], "the request that was held back was not sent before")
 				require.Equal(t, int64(1), b.gateway.Metrics.Registry.Get("second_tries.orders").(interface{ Count() int64 }).Count())
 			})
 		})
