--- a/gateway/standings.go
+++ b/gateway/standings.go
@@ -25,7 +25,7 @@
 	mu       sync.Mutex
 	book     *eligibility.Book
 	listed   *directory.Snapshot // applied to book last
-	reported time.Time           // when the leaving servers were last reported again
+	reported time.Time           // when a leaving server was last reported
 }
 
 func newStandings(drain time.Duration) *standings {
@@ -52,7 +52,11 @@
 func (s *standings) answered(h keyrange.Holder, a eligibility.Signal) []eligibility.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Answered(h, time.Now(), a)
+	now := time.Now()
+	if a.Leaving && !s.book.IsLeaving(h) {
+		s.reported = now
+	}
+	return s.book.Answered(h, now, a)
 }
 
 func (s *standings) expire() []eligibility.Change {
