gateway: count connections in tests without a data race

TestConnectionsToLeavingServerAreClosed failed once under the race detector ('race detected'): concurrent dials incremented a plain number of the test. It is atomic now, as is the one in TestSlowDialReachesNoIneligibleServer.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,28 +185,28 @@
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
 		s1 := sound()
 		b.watch(map[string]*scripted{"s1": s1})
-		open := 0
+		var open atomic.Int64
 		b.gateway.servers.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := b.dial(ctx, network, addr)
-			open++
+			open.Add(1)
 			return &countedConn{c, &open}, err
 		}
 		s1.takes = 10 * time.Millisecond
 		b.occupy("/book/1").Wait()
-		require.Equal(t, minConnections, open, "they are kept")
+		require.EqualValues(t, minConnections, open.Load(), "they are kept")
 		s1.set(200, leavingLine)
 		require.Equal(t, 200, b.send("POST", "/book/1", "b", "x").Code)
-		require.Zero(t, open, "also those that were idle before")
+		require.Zero(t, open.Load(), "also those that were idle before")
 	})
 }
 
 // countedConn decrements a number when it is closed.
 type countedConn struct {
 	net.Conn
-	open *int
+	open *atomic.Int64
 }
 
 func (c *countedConn) Close() error {
-	*c.open--
+	c.open.Add(-1)
 	return c.Conn.Close()
 }
--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,9 +159,9 @@
 				o1 := &scripted{status: 503, lines: lines, takes: 100 * time.Millisecond}
 				a := b.watch(map[string]*scripted{"o1": o1, "o2": sound()})
 				b.list(map[string]directory.State{"o2": directory.Draining})
-				dials := 0
+				var dials atomic.Int64
 				b.gateway.servers.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-					if dials++; addr == "o1" && dials > 1 {
+					if n := dials.Add(1); addr == "o1" && n > 1 {
 						time.Sleep(400 * time.Millisecond)
 					}
 					return b.dial(ctx, network, addr)
