--- a/event/request.go
+++ b/event/request.go
@@ -116,6 +116,7 @@
 	ReasonBudget       Reason = "the budget of second tries is spent"
 	ReasonNoNewOwner   Reason = "its key got no other owner in time"
 	ReasonNoTime       Reason = "too little time is left"
+	ReasonFull         Reason = "its key's owner is full and asked for a pause"
 	ReasonNotRetryable Reason = "errors of this kind are final"
 )
 
@@ -161,6 +162,7 @@
 	Request string        `json:"request"`
 	Route   string        `json:"route"`
 	Service string        `json:"service"`
+	Server  string        `json:"server,omitempty"` // full owner of the key, if it was refused for that
 	Keyed   bool          `json:"keyed"`
 	Key     uint16        `json:"key"`
 	Status  int           `json:"status"`
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
+	"github.com/lacewingsaddle/lacewingsaddle/eligibility"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/upstream"
 )
@@ -52,12 +54,22 @@
 			q.dropFailure()
 			return a, nil
 		}
+		if isIneligible(err) {
+			continue
+		}
 		if !g.retry(q, s, err) {
-			return q.giveUp(err)
+			return q.giveUp(g.withPause(q, s, err))
 		}
 	}
 }
 
+// isIneligible reports whether a request was not sent because its server leaves or became
+// full meanwhile. The request is placed anew, which is not a retry.
+func isIneligible(err error) bool {
+	var e *ineligible
+	return errors.As(err, &e)
+}
+
 // dropFailure closes the error response of an earlier attempt, if there is one.
 func (q *request) dropFailure() {
 	if q.failure != nil {
@@ -86,28 +98,58 @@
 // that q was sent to before are used only if there are already as many of them as
 // the route's Attempts, or if no other server is left.
 func (g *Gateway) pickServer(q *request) (*server, error) {
-	view := g.control.View()
-	var list, tried []*server
+	o := g.options(q)
+	list := o.untried
+	if len(q.tried) >= q.route.Attempts || len(list) == 0 {
+		list = o.tried
+	}
+	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
+	switch {
+	case s != nil:
+		return s, nil
+	case !o.pauseEnd.IsZero():
+		return nil, allFullError(o.pauseEnd)
+	}
+	return nil, notRun(fault.NoOwner, "the service has no backend server", retryAfterDefault)
+}
+
+// options are the servers that a request may be sent to.
+type options struct {
+	untried, tried []*server
+	pauseEnd       time.Time // the earliest end of the full servers' pauses; zero if none is full
+}
+
+// options returns the eligible servers of q's service.
+func (g *Gateway) options(q *request) options {
+	view := g.view()
+	var o options
 	for i := range view.Servers.Servers {
 		v := &view.Servers.Servers[i]
-		if v.Service != q.service.Name || v.State != directory.Ready {
+		if v.Service != q.service.Name {
 			continue
 		}
-		s := g.server(v, q, view)
-		if q.triedBefore(v.Holder.ID) {
-			tried = append(tried, s)
-		} else {
-			list = append(list, s)
+		switch verdict := g.checkServer(q, v.Holder); verdict.Standing {
+		case eligibility.Eligible:
+			o.add(g.server(v, q, view), q.triedBefore(v.Holder.ID))
+		case eligibility.Full:
+			o.addPause(verdict.Until)
 		}
 	}
-	if len(q.tried) >= q.route.Attempts || len(list) == 0 {
-		list = tried
+	return o
+}
+
+func (o *options) add(s *server, tried bool) {
+	if tried {
+		o.tried = append(o.tried, s)
+	} else {
+		o.untried = append(o.untried, s)
 	}
-	s := choose(list, time.Now(), origin{g.cfg.Domain, q.length}, randomIndex)
-	if s == nil {
-		return nil, notRun(fault.NoOwner, "the service has no backend server", retryAfterDefault)
+}
+
+func (o *options) addPause(end time.Time) {
+	if o.pauseEnd.IsZero() || end.Before(o.pauseEnd) {
+		o.pauseEnd = end
 	}
-	return s, nil
 }
 
 func (g *Gateway) server(v *directory.Server, q *request, view *cluster.View) *server {
@@ -118,13 +160,13 @@
 func (g *Gateway) waitForOwner(q *request) (*server, error) {
 	var timer *time.Timer
 	for {
-		view := g.control.View()
-		if s := g.ownerIn(q, view); s != nil {
-			return s, nil
+		view := g.view()
+		s, err := g.eligibleOwner(q, view)
+		if s != nil || err != nil {
+			return s, err
 		}
 		if timer == nil {
-			wait := time.Duration(ownerWaitShare*float64(q.target())) - time.Since(q.arrived)
-			timer = time.NewTimer(max(wait, 0))
+			timer = time.NewTimer(q.ownerWait())
 			defer timer.Stop()
 		}
 		select {
@@ -137,6 +179,28 @@
 	}
 }
 
+// ownerWait returns for how much longer q may wait for an owner of its key.
+func (q *request) ownerWait() time.Duration {
+	return max(time.Duration(ownerWaitShare*float64(q.target()))-time.Since(q.arrived), 0)
+}
+
+// eligibleOwner returns the server that owns the key according to a view, or nil if there
+// is none that q may be sent to: it then waits for another owner. It returns an error if
+// the owner is full, as no other server can run q.
+func (g *Gateway) eligibleOwner(q *request, view *cluster.View) (*server, error) {
+	s := g.ownerIn(q, view)
+	if s == nil {
+		return nil, nil
+	}
+	switch v := g.checkServer(q, s.Holder); v.Standing {
+	case eligibility.Full:
+		return nil, ownerFullError(s, v)
+	case eligibility.Leaving:
+		return nil, nil
+	}
+	return s, nil
+}
+
 // ownerIn returns the server that owns the key according to a view, or nil.
 func (g *Gateway) ownerIn(q *request, view *cluster.View) *server {
 	r := rangeOf(q, view)
@@ -178,6 +242,7 @@
 
 // send sends q once and classifies the response.
 func (g *Gateway) send(q *request, s *server) (*upstream.Response, error) {
+	before := q.progress
 	if q.rest != nil {
 		q.restConsumed = true
 	}
@@ -188,6 +253,11 @@
 	a, err := s.conns.Do(q.ctx, g.outgoing(q, s))
 	err = q.cutOffError(err)
 	took := time.Since(start)
+	if isIneligible(err) {
+		s.requestWithdrawn()
+		q.progress = before
+		return nil, err
+	}
 	if err == nil {
 		err = g.classify(q, a)
 	}
@@ -252,6 +322,8 @@
 		Rest:     q.rest,
 		Length:   q.length,
 		Once:     q.atMostOnce(),
+		Keyed:    q.keyed,
+		Retry:    q.sends > 1,
 		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
