upstream: a cut head that continues with another response is no response

Callers were told "not run" for a request that ran: the copy of an earlier refusal, cut off within its reason phrase or within a header value, swallows the status line of the next response. The parser then sees one head with the refusal's status and header lines and the id of the request that ran. A cut "200" in front of a failure gave a success in the same way.

All other cuts of a head leave a line without a colon or an invalid status, which the parser rejects.

--- /dev/null
+++ b/upstream/splice.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"net/http"
+	"strings"
+)
+
+// containsHead reports whether a header value or the reason phrase of resp contains the
+// status line of another response. The head of a response that was cut off then
+// continues with that response: the two have one status and the other's id.
+func containsHead(resp *http.Response) bool {
+	_, reason, _ := strings.Cut(resp.Status, " ")
+	if containsStatusLine(reason) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if containsStatusLine(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// containsStatusLine reports whether text contains a version and a status as in
+// "HTTP/1.1 200".
+func containsStatusLine(text string) bool {
+	for {
+		_, after, found := strings.Cut(text, "HTTP/1.")
+		if !found {
+			return false
+		}
+		if isMinorAndStatus(after) {
+			return true
+		}
+		text = after
+	}
+}
+
+// isMinorAndStatus reports whether text starts with a minor version and a status of
+// three digits, which the text's end or a space follows.
+func isMinorAndStatus(text string) bool {
+	const length = len("1 200")
+	if len(text) < length || text[1] != ' ' || !isDigits(text[:1]) || !isDigits(text[2:length]) {
+		return false
+	}
+	return len(text) == length || text[length] == ' '
+}
+
+func isDigits(text string) bool {
+	return strings.Trim(text, "0123456789") == ""
+}
--- /dev/null
+++ b/upstream/stale_test.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+)
+
+// unknownOutcomes lists the kinds of errors that leave open whether a request ran.
+var unknownOutcomes = []fault.Kind{fault.SendFailed, fault.AnswerCut, fault.AnswerMismatch, fault.AnswerTooLarge, fault.Timeout}
+
+// staleHeads lists heads of an earlier refusal, with the line that names its request at
+// every place.
+var staleHeads = map[string]string{
+	"id first":    "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"id last":     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nRetry-After: 0.5\r\nContent-Length: 0\r\nX-Id: a\r\n\r\n",
+	"no id":       "HTTP/1.1 429 Too Many Requests\r\nX-Not-Run: 1\r\nA: b c\r\nContent-Length: 2\r\n\r\nno",
+	"no header":   "HTTP/1.1 421 Misdirected Request\r\n\r\n",
+	"chunked":     "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\nX-Id: a\r\n\r\n2\r\nno\r\n0\r\nT: v\r\n\r\n",
+	"success":     "HTTP/1.1 200 All Is Well\r\nServer: x y\r\nX-Signature: a\r\nX-Id: a\r\nContent-Length: 2\r\n\r\naa",
+	"early hints": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: a\r\n\r\n",
+	"old version": "HTTP/1.0 503 X\r\nX-Not-Run: 1\r\nX-Id: a\r\n\r\n",
+}
+
+// ownResponse is the response to the request that follows.
+type ownResponse struct {
+	text   string
+	status int
+	body   string
+}
+
+var ownResponses = map[string]ownResponse{
+	"success": {"HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nbb", 200, "bb"},
+	"chunked": {"HTTP/1.1 200 OK\r\nX-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbb\r\n0\r\n\r\n", 200, "bb"},
+	"failure": {"HTTP/1.1 500\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nbb", 500, "bb"},
+	"empty":   {"HTTP/1.0 204 No Content\r\nX-Id: b\r\n\r\n", 204, ""},
+}
+
+// An earlier refusal that is written once more and cut off after any byte swallows the
+// start of the next response: the two together are never taken for one response, which
+// would be "not run" with the id of a request that ran.
+func TestCutCopyBeforeAResponse(t *testing.T) {
+	for name, stale := range staleHeads {
+		for kind, own := range ownResponses {
+			for _, kept := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/kept=%t", name, kind, kept), func(t *testing.T) {
+					for n := 1; n <= len(stale); n++ {
+						synctest.Test(t, func(t *testing.T) { testCutCopy(t, stale[:n], own, kept) })
+					}
+				})
+			}
+		}
+	}
+}
+
+func testCutCopy(t *testing.T, stale string, own ownResponse, kept bool) {
+	answers := []string{stale + own.text}
+	if kept {
+		answers = []string{okHead + "Content-Length: 0\r\n\r\n", stale + own.text}
+	}
+	sc := &scriptedServer{answers: answers}
+	s := NewServer("x", 4, sc.dial, NewBuffers(testBufferBytes))
+	defer s.Close()
+	if kept {
+		a, err := s.Do(t.Context(), request("a"))
+		require.NoError(t, err)
+		a.Close()
+	}
+	r := request("b")
+	r.Method, r.Body, r.Length = http.MethodGet, nil, 0
+	b, err := s.Do(t.Context(), r)
+	if err != nil {
+		require.Contains(t, unknownOutcomes, fault.KindOf(err), "%q", stale)
+		return
+	}
+	defer b.Close()
+	if b.Header.Get("X-Id") == "" {
+		require.False(t, kept)
+		require.True(t, strings.HasPrefix(stale, fmt.Sprintf("HTTP/1.1 %d ", b.Status)), "%q", stale)
+		return // on a new connection an error without an id is the request's own
+	}
+	require.Equal(t, own.status, b.Status, "%q", stale)
+	require.Equal(t, own.body, string(b.Body), "%q", stale)
+	require.Empty(t, b.Header.Get("X-Not-Run"), "%q", stale)
+}
