gateway: only a response with the request's id says that it did not run

Callers were told "not run" for requests that ran, or such a request went to a second server: a copy of an earlier refusal without an id, on a connection that carried no request before, was taken for the refusal of the request at hand; and 408, 429 or 503 without the header that says so was passed on, though callers read these statuses as a promise.

A refusal is believed only with the request's id (421, or the header); another response with a status that promises is AnswerMismatch, outcome unknown.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -250,15 +250,15 @@
 // classify returns nil if a response is to be forwarded to the caller, else an
 // error whose kind says whether the request may have run.
 func (g *Gateway) classify(q *request, a *upstream.Response) error {
-	if a.Status == http.StatusMisdirectedRequest {
+	if err := g.refusal(q, a); err != nil {
 		a.Close()
-		return fault.New(fault.StaleToken, "the server does not own the key, or another server answers at its address")
+		return err
 	}
-	if a.Header.Get(g.cfg.Headers.NotRun) != "" {
+	q.mayHaveRun = true
+	if promisesNotRun(a.Status) {
 		a.Close()
-		return fault.Newf(fault.NotAccepted, "the server did not run the request (status %d)", a.Status)
+		return fault.Newf(fault.AnswerMismatch, "the response (status %d) does not prove that the request did not run", a.Status)
 	}
-	q.mayHaveRun = true
 	if a.Status < http.StatusMultipleChoices && a.Header.Get(g.cfg.Headers.Signature) == "" {
 		a.Close()
 		return fault.New(fault.AnswerMismatch, "the response has no signature of a backend server")
@@ -271,6 +271,32 @@
 	return nil
 }
 
+// refusal returns the error of a response that states that the request did not run, or
+// nil. Such a response names its request: without its id, it may be a second copy of the
+// refusal of an earlier one.
+func (g *Gateway) refusal(q *request, a *upstream.Response) error {
+	if a.Header.Get(g.cfg.Headers.RequestID) != q.id {
+		return nil
+	}
+	if a.Status == http.StatusMisdirectedRequest {
+		return fault.New(fault.StaleToken, "the server does not own the key, or another server answers at its address")
+	}
+	if a.Header.Get(g.cfg.Headers.NotRun) != "" {
+		return fault.Newf(fault.NotAccepted, "the server did not run the request (status %d)", a.Status)
+	}
+	return nil
+}
+
+// promisesNotRun reports whether callers take a status as a promise that their request
+// did not run and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // retriable reports whether a request that a server answered with an error is worth
 // a retry: it is idempotent, was sent once, and has more than half of its latency
 // target left.
