upstream: a reset that the write of the request body got does not end a response

Callers got a 200 with a part of the body, framed as whole: a server that answers an upload without a length and resets the connection in the middle of its body. The system reports a reset once; if the concurrent write of the request body gets it, the read finds a regular end, which ends such a response.

A body that only the end of the connection ends is now whole only if the whole request body was sent.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -230,3 +230,19 @@
 		return false
 	}
 }
+
+// awaitWritten closes the connection, which ends a write in progress, and reports whether
+// the whole request body was sent before.
+func (x *exchange) awaitWritten() bool {
+	if x.written == nil {
+		return true
+	}
+	x.conn.close()
+	select {
+	case err := <-x.written:
+		x.written <- err
+		return err == nil
+	case <-x.ctx.Done():
+		return false
+	}
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -137,6 +137,9 @@
 		return nil, fault.Newf(fault.AnswerTooLarge, "the response body has %d bytes", resp.ContentLength)
 	}
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, buffers: x.server.buffers}
+	if endsWithConnection(resp) {
+		resp.Body = &bodyUntilClose{resp.Body, x}
+	}
 	complete, err := x.fillBody(out, resp)
 	if err != nil {
 		out.Close()
@@ -196,8 +199,7 @@
 // of the response to HEAD would announce a body that it does not have.
 func (x *exchange) finish(resp *http.Response) {
 	x.stop()
-	endsWithConnection := resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if endsWithConnection || x.req.Method == http.MethodHead || !x.bodyWritten() || x.ctx.Err() != nil {
+	if resp.Close || endsWithConnection(resp) || x.req.Method == http.MethodHead || !x.bodyWritten() || x.ctx.Err() != nil {
 		x.server.discard(x.conn)
 		return
 	}
@@ -209,6 +211,28 @@
 	x.server.putIdle(c)
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// bodyUntilClose is a body that the end of the connection ends. It is incomplete if the
+// request body was not written completely: the write of it may have got the error of a
+// reset, which the system reports once, and reads then find a regular end.
+type bodyUntilClose struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (b *bodyUntilClose) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.exchange.awaitWritten() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // keepAliveExpiry returns until when a connection can be reused according to a
 // Keep-Alive header, or the zero time if the header has no timeout.
 func keepAliveExpiry(now time.Time, header string) time.Time {
