--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -36,7 +36,12 @@
 	defer conn.Close()
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: shop.example\r\nX-Id: a\r\nX-Key: 7\r\nX-Deadline: 3000\r\nContent-Length: 0\r\n\r\n", path, version)
 	require.NoError(t, err)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	return readResponse(conn, http.MethodPost)
+}
+
+// readResponse reads the response to a request with the given method.
+func readResponse(conn net.Conn, method string) callerResponse {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		return callerResponse{}
 	}
