--- a/upstream/response.go
+++ b/upstream/response.go
@@ -88,7 +88,7 @@
 	if err != nil && source.exceeded {
 		return nil, errHeadTooLarge // the parser may report a truncated line instead
 	}
-	if err == nil && containsHead(resp) {
+	if err == nil && ContainsHead(resp) {
 		return nil, fault.New(fault.AnswerMismatch, "a response head was cut off and continues with another response")
 	}
 	return resp, err
--- a/upstream/splice.go
+++ b/upstream/splice.go
@@ -5,10 +5,10 @@
 	"strings"
 )
 
-// containsHead reports whether a header value or the reason phrase of resp contains the
+// ContainsHead reports whether a header value or the reason phrase of resp contains the
 // status line of another response. The head of a response that was cut off then
 // continues with that response: the two have one status and the other's id.
-func containsHead(resp *http.Response) bool {
+func ContainsHead(resp *http.Response) bool {
 	_, reason, _ := strings.Cut(resp.Status, " ")
 	if containsStatusLine(reason) {
 		return true
