--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -58,15 +58,15 @@
 // line with the id of the earlier request, or nothing.
 var staleCopies = map[string]string{
 	"not run":          "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nLINEContent-Length: 0\r\n\r\n",
-	"not run, body":    "HTTP/1.1 503 X\r\nLINEX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nstale",
-	"not run, chunked": "HTTP/1.1 429 X\r\nLINEX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstale\r\n0\r\n\r\n",
+	"not run, body":    "HTTP/1.1 503 X\r\nLINEX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nSTALE",
+	"not run, chunked": "HTTP/1.1 429 X\r\nLINEX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nSTALE\r\n0\r\n\r\n",
 	"not the owner":    "HTTP/1.1 421 X\r\nLINEX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	"421 alone":        "HTTP/1.1 421 X\r\nLINEContent-Length: 0\r\n\r\n",
 	"429 alone":        "HTTP/1.1 429 X\r\nLINEContent-Length: 0\r\n\r\n",
 	"503 alone":        "HTTP/1.1 503 X\r\nLINEContent-Length: 0\r\n\r\n",
-	"408 alone":        "HTTP/1.1 408 X\r\nLINEContent-Length: 5\r\n\r\nstale",
+	"408 alone":        "HTTP/1.1 408 X\r\nLINEContent-Length: 5\r\n\r\nSTALE",
 	"interim first":    "HTTP/1.1 103 X\r\nLINE\r\nHTTP/1.1 503 X\r\nX-Not-Run: 1\r\nLINEContent-Length: 0\r\n\r\n",
-	"success":          "HTTP/1.1 200 X\r\nX-Signature: ok\r\nLINEContent-Length: 5\r\n\r\nstale",
+	"success":          "HTTP/1.1 200 X\r\nX-Signature: ok\r\nLINEContent-Length: 5\r\n\r\nSTALE",
 	"no content":       "HTTP/1.1 204 X\r\nX-Signature: ok\r\nLINE\r\n",
 	"not modified":     "HTTP/1.1 304 X\r\nLINEContent-Length: 5\r\n\r\n",
 	"cut in a reason":  "HTTP/1.1 503 Service",
@@ -237,6 +237,66 @@
 // staleText returns a copy with the given line for the id of its request.
 func staleText(name, line string) string { return strings.ReplaceAll(staleCopies[name], "LINE", line) }
 
+// refusals lists the header lines and the status of a refusal.
+var refusals = map[int]string{
+	http.StatusServiceUnavailable: "X-Not-Run: 1\r\n",
+	http.StatusTooManyRequests:    "X-Not-Run: 1\r\nRetry-After: 0.1\r\n",
+	http.StatusMisdirectedRequest: "",
+}
+
+// A refusal that a server writes once more has the id of the request itself if that request
+// is sent again after it. The copy comes on the connection of the first attempt, on which
+// no later attempt is sent.
+func TestCopyOfTheRefusalOfAnEarlierAttempt(t *testing.T) {
+	for status, lines := range refusals {
+		for _, when := range []string{"at once", "while the request runs", "after it"} {
+			for _, p := range stalePaths {
+				t.Run(fmt.Sprintf("%d/%s/%s%s/%d bytes", status, when, p.method, p.path, p.bytes), func(t *testing.T) {
+					withTestGateway(t, func(t *testing.T, b *testGateway) { testCopyOfARefusal(t, b, status, lines, when, p) })
+				})
+			}
+		}
+	}
+}
+
+func testCopyOfARefusal(t *testing.T, b *testGateway, status int, lines, when string, p stalePath) {
+	var first net.Conn
+	var refused *http.Request
+	writeCopy := func(moment string) {
+		if moment == when {
+			go reply(first, refused, status, lines, "")
+		}
+	}
+	server := func(conn net.Conn, req *http.Request) bool {
+		_, _ = io.Copy(io.Discard, req.Body) // the gateway's write must not block
+		if first == nil {
+			first, refused = conn, req
+			defer writeCopy("at once")
+			return reply(conn, req, status, lines, "")
+		}
+		if req.Header.Get("X-Id") == "new" {
+			writeCopy("while the request runs")
+			defer writeCopy("after it")
+		}
+		b.recordRun(req)
+		time.Sleep(10 * time.Millisecond)
+		_, err := io.WriteString(conn, staleResponse(req))
+		return err == nil
+	}
+	for _, id := range []string{"s1", "o1", "o2"} {
+		b.servers[id] = server
+	}
+	body := strings.Repeat("z", p.bytes)
+	for _, id := range []string{"new", "next"} {
+		w := b.send(p.method, p.path, id, body)
+		requireTrue(t, b, p, id, w)
+		if p.bytes <= maxBufferedBody {
+			require.Equal(t, http.StatusOK, w.Code, id)
+			require.Equal(t, 1, b.runCount(id))
+		}
+	}
+}
+
 // A server's own response that it failed after it ran the request is not passed on with a
 // status that promises that the request did not run.
 func TestOwnFailureIsNoPromise(t *testing.T) {
@@ -277,7 +337,7 @@
 	if own := w.Header().Get("X-Id"); own != "" {
 		require.Equal(t, id, own)
 	}
-	require.NotContains(t, w.Body.String(), "stale", "%v", p)
+	require.NotContains(t, w.Body.String(), "STALE", "%v", p)
 	if w.Code < http.StatusMultipleChoices {
 		want := "own " + id
 		if p.method == http.MethodHead {
