upstream: a copy that is written into a body is no part of the response

Callers got a success whose body began with an earlier response: a server that writes the head and the body of a response apart may write a copy between them.

TestCopyWithinAResponse writes four copies between any two bytes of five own responses; before, the cases with a body of known length failed, e.g. with the body "HT".

What the copy pushes out of the body follows it. A body in which a status line begins and which bytes follow is now AnswerMismatch. Bytes alone behind a body, or a status line alone within it, change nothing. Not seen: copies in bodies without a length, in bodies that are streamed, and where the rest arrives later.

--- a/upstream/response.go
+++ b/upstream/response.go
@@ -145,6 +145,10 @@
 		out.Close()
 		return nil, err
 	}
+	if complete && x.conn.isInsertedInto(out.Body) {
+		out.Close()
+		return nil, fault.New(fault.AnswerMismatch, "another response was written into the response body")
+	}
 	if complete {
 		out.Length = int64(len(out.Body))
 		x.finish(resp)
--- a/upstream/splice.go
+++ b/upstream/splice.go
@@ -23,6 +23,21 @@
 	return false
 }
 
+// statusLineBytes is the length of a status line's start, up to the status, in bytes.
+const statusLineBytes = len("HTTP/1.1 200")
+
+// isInsertedInto reports whether another response was written into a body that has just
+// been read. What it pushed out of the body has been received, too, and a status line
+// begins within the body. Bytes alone that follow a body are no reason to reject it.
+func (c *conn) isInsertedInto(body []byte) bool {
+	n := min(c.reader.Buffered(), statusLineBytes-1)
+	if n == 0 {
+		return false
+	}
+	next, _ := c.reader.Peek(n) // these are buffered
+	return containsStatusLine(string(body) + string(next))
+}
+
 // containsStatusLine reports whether text contains a version and a status as in
 // "HTTP/1.1 200".
 func containsStatusLine(text string) bool {
