soak: planned work in series, and what servers announce in their answers

LOST holds for every request that was sent whole while no fault of its host or server was in force: it is broken by a close after the request was passed on, or later than 200 ms after its last byte. Bytes that crossed the close are counted and printed.

The stand-ins of backend servers announce that they leave, and for how long they want no requests when they are full.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,7 @@
 	Hosts    int           `arg:"--hosts" default:"4" help:"entry hosts"`
 	Backends int           `arg:"--backends" default:"6" help:"backend servers"`
 	Clients  int           `arg:"--clients" default:"10" help:"callers"`
+	Work     soak.Work     `arg:"--work" default:"faults" help:"what happens: faults, planned (planned work alone) or both"`
 	Dir      string        `arg:"--dir" help:"directory for settings and logs; default: a temporary one"`
 	Verbose  bool          `arg:"--verbose" help:"print the faults of every seed, not only of those with violations"`
 }
@@ -38,7 +40,10 @@
 
 func main() {
 	var args arguments
-	arg.MustParse(&args)
+	parser := arg.MustParse(&args)
+	if !slices.Contains(soak.Works, args.Work) {
+		parser.Fail("--work must be faults, planned or both")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(run(ctx, args))
@@ -85,7 +90,7 @@
 	}
 	r, err := soak.Run(ctx, soak.Config{
 		Program: args.Program, Dir: dir, Seed: seed,
-		Hosts: args.Hosts, Backends: args.Backends, Clients: args.Clients, Length: args.Length,
+		Hosts: args.Hosts, Backends: args.Backends, Clients: args.Clients, Length: args.Length, Work: args.Work,
 	})
 	mu.Lock()
 	defer mu.Unlock()
@@ -93,7 +98,9 @@
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 		return exitError
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d faults, %d violations\n", seed, r.Requests, r.Served, len(r.Faults), len(r.Violations))
+	fmt.Printf("seed %d, %s: %d requests, %d served, %d crossed a close, %d faults, %d violations\n",
+		seed, args.Work, r.Requests, r.Served, len(r.Crossed), len(r.Faults), len(r.Violations))
+	printLines(r.Crossed)
 	if len(r.Violations) == 0 {
 		if args.Verbose {
 			printLines(r.Faults)
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -6,8 +6,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
@@ -26,17 +28,28 @@
 // client sends requests one at a time to randomly chosen hosts, over kept-alive
 // connections.
 type client struct {
-	w            *world
-	rand         *rand.Rand
+	w    *world
+	rand *rand.Rand
+	// direct makes it connect to hosts themselves, not to their proxies. It can tell a
+	// refused connection from one that the host closed.
+	direct       bool
 	http         *http.Client
 	mu           sync.Mutex
 	newestServed map[string]int // by process of a host: the newest version that it has served
 }
 
+// newClient returns the i-th client. Every other one connects directly.
 func newClient(w *world, i int) *client {
+	c := newDirectClient(w, i)
+	c.direct = i%2 == 1
+	return c
+}
+
+func newDirectClient(w *world, i int) *client {
 	return &client{
 		w:            w,
 		rand:         rand.New(rand.NewPCG(w.cfg.Seed, uint64(i)+100)),
+		direct:       true,
 		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: callTimeout + time.Second},
 		newestServed: map[string]int{},
 	}
@@ -61,32 +74,38 @@
 type attempt struct {
 	id         string
 	host       *host
-	process    string // the host's process when the request was sent
+	launch     int64  // number of the host's process when the request was sent
+	process    string // its name
+	direct     bool   // not through the proxy
 	version    int
 	atMostOnce bool
 	body       string
 	sentAt     time.Time
-	required   int // newest version that had to be in force when the request was sent
+	required   int          // newest version that had to be in force when the request was sent
+	wroteAt    atomic.Int64 // when its last byte was sent, in Unix ns; 0 for not yet
 }
 
 // call sends one request and checks its answer. The HTTP client waits longer than
 // the caller's deadline, so that a late answer is not counted as a missing one.
 func (c *client) call(h *host) {
-	a := attempt{
+	a := &attempt{
 		id:         c.w.ledger.newID("r"),
 		host:       h,
-		process:    fmt.Sprint(h.name, "/", h.launches.Load()),
+		launch:     h.launches.Load(),
+		direct:     c.direct,
 		version:    c.w.operator.randomVersion(c.rand),
 		atMostOnce: c.rand.IntN(3) > 0,
 		sentAt:     time.Now(),
 	}
+	a.process = processName(h.name, a.launch)
 	path := fmt.Sprintf("/look/v%d/x", a.version)
 	if a.atMostOnce {
 		path = fmt.Sprintf("/book/v%d/x", a.version)
 		a.body = "body of " + a.id
 	}
 	a.required = c.w.operator.requiredVersion(a.sentAt)
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.callerProxy.Address()+path, strings.NewReader(a.body))
+	c.w.announcements.requestSent(a)
+	req, err := http.NewRequestWithContext(a.trace(), http.MethodPost, "http://"+c.address(h)+path, strings.NewReader(a.body))
 	if err != nil {
 		c.w.addViolation("SOAK", "cannot build a request: %v", err)
 		return
@@ -104,27 +123,40 @@
 	c.check(a, resp, string(body), err)
 }
 
-// checkUnanswered records a request without an answer. During a planned stop, with
-// no other fault in force, a request that a backend server ran must be answered.
-func (c *client) checkUnanswered(a attempt, err error) {
+// trace returns a context that records when the request has been sent whole.
+func (a *attempt) trace() context.Context {
+	return httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				a.wroteAt.Store(time.Now().UnixNano())
+			}
+		},
+	})
+}
+
+// address returns the address at which the client reaches a host.
+func (c *client) address(h *host) string {
+	if c.direct {
+		return h.trafficAddr
+	}
+	return h.callerProxy.Address()
+}
+
+// checkUnanswered records a request without an answer.
+func (c *client) checkUnanswered(a *attempt, err error) {
 	c.w.countRequest(false)
 	c.w.ledger.addAnswer(answer{id: a.id, atMostOnce: a.atMostOnce})
-	leaving := a.host.stoppingSince()
-	if leaving.IsZero() || time.Since(a.sentAt) > callTimeout {
-		return
-	}
-	if !c.w.undisturbed(time.Now(), c.w.allSubjects()...) {
-		return
-	}
-	for _, s := range c.w.servers {
-		if backend := s.currentBackend(); backend != nil && backend.Runs(a.id) > 0 {
-			c.w.addViolation("LOST", "%s ran on %s, but %s closed its connection during a planned stop: %v", a.id, s.id, a.host.name, err)
-		}
-	}
+	c.w.ledger.addUnanswered(a, err)
 }
 
 // check checks an answer against the guarantees.
-func (c *client) check(a attempt, resp *http.Response, body string, err error) {
+func (c *client) check(a *attempt, resp *http.Response, body string, err error) {
+	if err != nil {
+		c.w.ledger.addUnanswered(a, err)
+	}
+	if server := platformtest.AnsweredBy(resp.Header); server != "" {
+		c.w.announcements.responsePassedOn(a, server)
+	}
 	served := resp.StatusCode == http.StatusOK && err == nil
 	c.w.countRequest(served)
 	rejected := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
@@ -145,7 +177,7 @@
 
 // checkVersion checks that a configuration takes effect in time and stays in
 // effect. Paths of older versions stay valid.
-func (c *client) checkVersion(a attempt, status int) {
+func (c *client) checkVersion(a *attempt, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch status {
@@ -171,16 +203,3 @@
 		w.report.Served++
 	}
 }
-
-// allSubjects returns the names of everything that faults are recorded for: the
-// store, the hosts and the backend servers.
-func (w *world) allSubjects() []string {
-	out := []string{"store"}
-	for _, h := range w.hosts {
-		out = append(out, h.name)
-	}
-	for _, s := range w.servers {
-		out = append(out, s.id)
-	}
-	return out
-}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,8 @@
 	longestFault  = 4 * time.Second
 	// drainServeTime is how long a draining server goes on serving.
 	drainServeTime = drainTime + time.Second
+	// maxDrainNotice bounds how long a server that leaves is still listed as ready.
+	maxDrainNotice = 3 * time.Second
 )
 
 // maxFaultIntervals are upper bounds of the pause between the starts of two faults;
@@ -127,7 +129,7 @@
 		h.stopGracefully()
 		time.Sleep(d / 4)
 		w.restartHost(h)
-		w.recordFault(h.name, time.Now())
+		w.recordPlanned(h.name, time.Now())
 	})
 }
 
@@ -233,13 +235,35 @@
 func serverDrain(w *world, target int, d time.Duration) {
 	s := w.server(target)
 	tryWithLock(&s.faultMu, func() {
-		w.logEvent("%s drains", s.id)
+		backend := s.currentBackend()
+		if backend == nil {
+			return
+		}
+		w.logEvent("%s leaves and tells so, and drains after %v", s.id, drainNotice(d))
+		backend.SetLeaving()
+		time.Sleep(drainNotice(d))
 		s.drain()
 		time.Sleep(drainServeTime)
 		w.withFault(s.id, d, s.crash, func() { w.restartServer(s) })
 	})
 }
 
+// drainNotice returns how long a server that leaves is still listed as ready.
+func drainNotice(d time.Duration) time.Duration { return min(d, maxDrainNotice) }
+
+// serverFull makes a server reject all requests.
+func serverFull(w *world, target int, d time.Duration) {
+	s := w.server(target)
+	backend := s.currentBackend()
+	if backend == nil {
+		return
+	}
+	form := platformtest.RetryAfterForms[(target/7)%len(platformtest.RetryAfterForms)]
+	w.logEvent("%s is full for %v and tells %v", s.id, d.Round(time.Millisecond), form)
+	backend.SetFull(d, form)
+	time.Sleep(d)
+}
+
 func (w *world) restartServer(s *server) {
 	if err := s.launch(); err != nil {
 		w.addViolation("SOAK", "cannot start %s: %v", s.id, err)
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -30,10 +30,11 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	// launches counts the processes started for this host; it numbers the present one.
-	launches        atomic.Int64
-	stopRequestedAt time.Time // when SIGTERM was sent to the present process, zero for not yet
-	resumedAt       atomic.Int64
-	exitExpected    bool // the process was told to exit
+	launches atomic.Int64
+	// stops holds when the planned stop of each process began, by its number.
+	stops        map[int64]time.Time
+	resumedAt    atomic.Int64
+	exitExpected bool // the process was told to exit
 
 	faultMu sync.Mutex // held while a fault of the process is in force
 }
@@ -59,7 +60,7 @@
 }
 
 func newHost(w *world, i int, store string) (*host, error) {
-	h := &host{w: w, name: fmt.Sprintf("entry-%d", i)}
+	h := &host{w: w, name: fmt.Sprintf("entry-%d", i), stops: map[int64]time.Time{}}
 	var err error
 	if h.storeProxy, err = NewProxy(store); err != nil {
 		return nil, err
@@ -106,7 +107,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	h.process, h.exited, h.exitExpected, h.stopRequestedAt = cmd, make(chan struct{}), false, time.Time{}
+	h.process, h.exited, h.exitExpected = cmd, make(chan struct{}), false
 	h.launches.Add(1)
 	go h.awaitExit(cmd, h.exited)
 	return nil
@@ -129,8 +130,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.exitExpected = h.exitExpected || mayExit
-	if s == syscall.SIGTERM {
-		h.stopRequestedAt = time.Now()
+	n := h.launches.Load()
+	if s == syscall.SIGTERM && h.stops[n].IsZero() {
+		h.stops[n] = time.Now()
 	}
 	_ = h.process.Process.Signal(s) // the process may have exited
 }
@@ -143,7 +145,7 @@
 	select {
 	case <-h.done():
 	case <-time.After(graceTime + time.Second):
-		if h.w.undisturbed(begin.Add(undisturbedPeriod), h.name) {
+		if h.w.unimpaired(begin.Add(undisturbedPeriod), h.name) {
 			h.w.addViolation("LOST", "%s was still running %v after SIGTERM", h.name, graceTime+time.Second)
 		}
 		h.kill()
@@ -170,12 +172,19 @@
 	return h.exited
 }
 
-// stoppingSince returns when the planned stop of the present process began, or zero
-// if it is not stopping.
-func (h *host) stoppingSince() time.Time {
+// stopOf returns when the planned stop of a process began, or zero if it did not.
+func (h *host) stopOf(launch int64) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stopRequestedAt
+	return h.stops[launch]
+}
+
+func processName(host string, launch int64) string { return fmt.Sprint(host, "/", launch) }
+
+// resumedSince reports whether the process was resumed after t.
+func (h *host) resumedSince(t time.Time) bool {
+	resumed := h.resumedAt.Load()
+	return resumed != 0 && time.Unix(0, resumed).After(t)
 }
 
 // close kills the process and closes its proxies.
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -28,13 +28,21 @@
 	answers  []answer
 	backends []*platformtest.Backend
 	servers  map[*platformtest.Backend]*server // of the backends that are running
+	// reached holds the servers that each request reached.
+	reached    map[string][]*server
+	unanswered []unanswered
 	// overlaps holds, by key, each backend that began a request of the key (a) while
 	// another held the key too (b).
 	overlaps map[uint64]map[pair]bool
 }
 
 func newLedger(w *world) *ledger {
-	return &ledger{w: w, servers: map[*platformtest.Backend]*server{}, overlaps: map[uint64]map[pair]bool{}}
+	return &ledger{
+		w:        w,
+		servers:  map[*platformtest.Backend]*server{},
+		reached:  map[string][]*server{},
+		overlaps: map[uint64]map[pair]bool{},
+	}
 }
 
 func (l *ledger) newID(prefix string) string {
--- /dev/null
+++ b/soak/lost.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+// lossSlack is how long after its last byte was sent a request that was not passed on
+// may still cross the close of its connection.
+const lossSlack = 200 * time.Millisecond
+
+// unanswered is a request without a complete answer.
+type unanswered struct {
+	attempt  *attempt
+	closedAt time.Time // when its connection was closed
+	err      error
+	// impaired holds the servers that a fault disturbed when the connection was closed.
+	impaired map[*server]bool
+}
+
+// addUnanswered records a request whose connection was closed without a complete
+// answer, unless a fault of its host or a timeout explains it.
+func (l *ledger) addUnanswered(a *attempt, err error) {
+	now := time.Now()
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() || now.Sub(a.sentAt) >= callTimeout {
+		return
+	}
+	if !l.w.unimpaired(now, a.host.name) {
+		return
+	}
+	u := unanswered{attempt: a, closedAt: now, err: err, impaired: map[*server]bool{}}
+	for _, s := range l.w.servers {
+		u.impaired[s] = !l.w.unimpaired(now, s.id)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unanswered = append(l.unanswered, u)
+}
+
+// requestArrived records that a request reached a server.
+func (l *ledger) requestArrived(s *server, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reached[id] = append(l.reached[id], s)
+}
+
+// checkUnanswered checks that hosts answered or refused what was sent to them whole: a
+// request that was passed on must be answered, and another must not wait for longer
+// than lossSlack before its connection closes. It runs after all requests have ended,
+// since a request may be passed on after its connection has closed.
+func (l *ledger) checkUnanswered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range l.unanswered {
+		reached := l.reached[u.attempt.id]
+		switch {
+		case len(reached) > 0 && !u.excused(reached), u.waited() > lossSlack && len(reached) == 0:
+			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
+		case len(reached) == 0 && u.waited() > 0 && u.attempt.direct:
+			l.w.addCrossed(u.closedAt, u.describe(l.w, nil))
+		}
+	}
+}
+
+// excused reports whether a fault disturbed a server that the request had reached.
+func (u unanswered) excused(reached []*server) bool {
+	for _, s := range reached {
+		if u.impaired[s] {
+			return true
+		}
+	}
+	return false
+}
+
+// waited returns the time from the request's last byte to the close, or 0 if it was not
+// sent whole.
+func (u unanswered) waited() time.Duration {
+	wrote := u.attempt.wroteAt.Load()
+	if wrote == 0 {
+		return 0
+	}
+	return max(u.closedAt.Sub(time.Unix(0, wrote)), 1)
+}
+
+func (u unanswered) describe(w *world, reached []*server) string {
+	a := u.attempt
+	var out strings.Builder
+	stop := a.host.stopOf(a.launch)
+	if !stop.IsZero() && stop.Before(u.closedAt) {
+		fmt.Fprintf(&out, "in a planned stop, %.3f s after SIGTERM: ", u.closedAt.Sub(stop).Seconds())
+	}
+	fmt.Fprintf(&out, "%s, sent to %s at %.3f s, ", a.id, a.process, a.sentAt.Sub(w.start).Seconds())
+	if len(reached) > 0 {
+		fmt.Fprintf(&out, "reached %s, ", reached[0].id)
+	}
+	fmt.Fprintf(&out, "closed %.3f ms after its last byte: %v", float64(u.waited().Microseconds())/1000, u.err)
+	return out.String()
+}
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -69,7 +69,7 @@
 	defer s.mu.Unlock()
 	backend := platformtest.NewBackend(s.id)
 	backend.ResponseDelay = requestDuration
-	backend.OnRequestStart = func(key uint64) { s.w.ledger.requestStarted(s, backend, key) }
+	s.watch(backend)
 	s.backend, s.startedAt, s.seq, s.draining = backend, time.Now().UnixMilli(), 0, false
 	s.http = &http.Server{Handler: backend}
 	server := s.http
@@ -78,6 +78,22 @@
 	return nil
 }
 
+// watch makes the checks see what happens at a backend.
+func (s *server) watch(backend *platformtest.Backend) {
+	w := s.w
+	backend.OnRequestArrival = func(id string) {
+		w.ledger.requestArrived(s, id)
+		w.announcements.requestArrived(s, backend, id)
+	}
+	backend.OnRequestStart = func(id string, key uint64) {
+		w.ledger.requestStarted(s, backend, key)
+		w.announcements.requestStarted(s, backend, id)
+	}
+	backend.OnAnnouncement = func(id string, a platformtest.Announcement) {
+		w.announcements.announced(s, backend, id, a)
+	}
+}
+
 // crash stops the server at once, without draining.
 func (s *server) crash() {
 	s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,8 +31,22 @@
 	Backends int           // backend servers
 	Clients  int           // callers
 	Length   time.Duration // how long faults are started
+	Work     Work          // what happens to hosts and servers
 }
 
+// Work is what happens to hosts and servers in a run.
+type Work string
+
+// The kinds of work.
+const (
+	Faults  Work = "faults"  // faults, and single planned stops
+	Planned Work = "planned" // planned work alone
+	Both    Work = "both"
+)
+
+// Works lists all kinds of work.
+var Works = []Work{Faults, Planned, Both}
+
 // Time bounds. The first three are those that the platform sets for hosts, see the
 // settings in hosts.go.
 const (
@@ -64,10 +78,13 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Seed       uint64
-	Requests   int      // sent by callers
-	Served     int      // answered with status 200
-	Faults     []string // faults and new configurations, in order
+	Seed     uint64
+	Requests int      // sent by callers
+	Served   int      // answered with status 200
+	Faults   []string // faults and new configurations, in order
+	// Crossed lists requests that a host closed the connection of within lossSlack,
+	// without having passed them on: their bytes crossed the close.
+	Crossed    []string
 	Violations []Violation
 }
 
@@ -82,24 +99,30 @@
 	ledger   *ledger
 	operator *operator
 
+	announcements *announcements
+
 	mu     sync.Mutex
 	report Report
 	// faultUntil is when the last fault of each subject ends or ended. A subject is a
 	// host's name, a server's id, or "store".
 	faultUntil map[string]time.Time
+	// impairedUntil is the same without planned work.
+	impairedUntil map[string]time.Time
 }
 
 // Run runs one seed. An error means that the run itself could not be carried out.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	w := &world{
-		cfg:        cfg,
-		start:      time.Now(),
-		rand:       newRand(cfg.Seed),
-		store:      platformtest.NewStore(),
-		faultUntil: map[string]time.Time{},
+		cfg:           cfg,
+		start:         time.Now(),
+		rand:          newRand(cfg.Seed),
+		store:         platformtest.NewStore(),
+		faultUntil:    map[string]time.Time{},
+		impairedUntil: map[string]time.Time{},
 	}
 	w.report.Seed = cfg.Seed
 	w.ledger = newLedger(w)
+	w.announcements = newAnnouncements(w)
 	w.operator = newOperator(w)
 	storeServer := httptest.NewServer(w.store)
 	defer storeServer.Close()
@@ -157,12 +180,27 @@
 	go func() { defer running.Done(); w.operator.run(ctx) }()
 	running.Add(1)
 	go func() { defer running.Done(); w.runHeartbeats(ctx) }()
-	w.runFaults(ctx)
+	w.runWork(ctx)
 	time.Sleep(undisturbedPeriod)
 	stop()
 	running.Wait()
 }
 
+// runWork starts faults or planned work for the configured length and waits until all
+// of it has ended.
+func (w *world) runWork(ctx context.Context) {
+	var running sync.WaitGroup
+	if w.cfg.Work != Planned {
+		running.Add(1)
+		go func() { defer running.Done(); w.runFaults(ctx) }()
+	}
+	if w.cfg.Work == Planned || w.cfg.Work == Both {
+		running.Add(1)
+		go func() { defer running.Done(); w.runPlannedWork(ctx) }()
+	}
+	running.Wait()
+}
+
 // checkAtEnd runs the checks that need the whole run: recovery after the last fault,
 // and answers against the requests that ran.
 func (w *world) checkAtEnd(ctx context.Context) {
@@ -173,6 +211,7 @@
 		w.addViolation("RECOVER", "%v after the last fault: %s", recoveryTimeout, unserved)
 	}
 	w.ledger.checkRuns()
+	w.ledger.checkUnanswered()
 }
 
 func (w *world) close() {
@@ -185,14 +224,34 @@
 }
 
 func (w *world) addViolation(rule, format string, args ...any) {
+	w.addViolationAt(time.Now(), rule, format, args...)
+}
+
+func (w *world) addViolationAt(t time.Time, rule, format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.report.Violations = append(w.report.Violations, Violation{Rule: rule, Detail: fmt.Sprintf(format, args...), At: time.Since(w.start)})
+	w.report.Violations = append(w.report.Violations, Violation{Rule: rule, Detail: fmt.Sprintf(format, args...), At: t.Sub(w.start)})
+}
+
+func (w *world) addCrossed(t time.Time, detail string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.report.Crossed = append(w.report.Crossed, fmt.Sprintf("%7.3f s  %s", t.Sub(w.start).Seconds(), detail))
 }
 
 // recordFault records that a fault of a subject is in force until the given time,
 // which is now for one that has just ended.
 func (w *world) recordFault(subject string, until time.Time) {
+	w.recordPlanned(subject, until)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until.After(w.impairedUntil[subject]) {
+		w.impairedUntil[subject] = until
+	}
+}
+
+// recordPlanned does the same for planned work.
+func (w *world) recordPlanned(subject string, until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if until.After(w.faultUntil[subject]) {
@@ -200,13 +259,25 @@
 	}
 }
 
-// undisturbed reports whether no fault of the subjects was in force in the
-// undisturbedPeriod before t.
+// undisturbed reports whether no fault and no planned work of the subjects was in force
+// in the undisturbedPeriod before t.
 func (w *world) undisturbed(t time.Time, subjects ...string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return endedBefore(t.Add(-undisturbedPeriod), w.faultUntil, subjects)
+}
+
+// unimpaired reports whether no fault of the subjects was in force in the
+// undisturbedPeriod before t. Planned work is no fault.
+func (w *world) unimpaired(t time.Time, subjects ...string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return endedBefore(t.Add(-undisturbedPeriod), w.impairedUntil, subjects)
+}
+
+func endedBefore(t time.Time, until map[string]time.Time, subjects []string) bool {
 	for _, s := range subjects {
-		if t.Sub(w.faultUntil[s]) < undisturbedPeriod {
+		if until[s].After(t) {
 			return false
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,8 +23,14 @@
 
 // newWorld returns a world without processes, for testing the checks.
 func newWorld() *world {
-	w := &world{cfg: Config{Seed: 1}, start: time.Now(), faultUntil: map[string]time.Time{}}
+	w := &world{
+		cfg:           Config{Seed: 1},
+		start:         time.Now(),
+		faultUntil:    map[string]time.Time{},
+		impairedUntil: map[string]time.Time{},
+	}
 	w.ledger = newLedger(w)
+	w.announcements = newAnnouncements(w)
 	w.store = platformtest.NewStore()
 	w.operator = newOperator(w)
 	return w
@@ -35,8 +41,9 @@
 func newBackend(w *world, id string) (*server, *platformtest.Backend) {
 	s := &server{w: w, id: id}
 	backend := platformtest.NewBackend(id)
-	backend.OnRequestStart = func(key uint64) { w.ledger.requestStarted(s, backend, key) }
+	s.watch(backend)
 	s.backend = backend
+	w.servers = append(w.servers, s)
 	w.ledger.addBackend(s, backend)
 	return s, backend
 }
@@ -156,7 +163,7 @@
 			resp := &http.Response{Header: http.Header{}}
 			var body string
 			resp.StatusCode, body = c.answer(resp.Header)
-			cl.check(attempt{id: "r", process: "h/1", host: &host{name: "h"}, version: 2, body: "b"}, resp, body, nil)
+			cl.check(&attempt{id: "r", process: "h/1", host: &host{name: "h"}, version: 2, body: "b"}, resp, body, nil)
 			if c.rule == "" {
 				require.Empty(t, rules(w))
 				return
