--- a/soak/faults.go
+++ b/soak/faults.go
@@ -152,6 +152,9 @@
 
 func hangup(w *world, target int, _ time.Duration) {
 	h := w.host(target)
+	if h.launchedSince(time.Now().Add(-handlerTime)) {
+		return
+	}
 	w.logEvent("%s gets SIGHUP", h.name)
 	h.signal(syscall.SIGHUP, false)
 }
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -33,6 +33,7 @@
 	launches atomic.Int64
 	// stops holds when the planned stop of each process began, by its number.
 	stops        map[int64]time.Time
+	launchedAt   time.Time // when the present process was started
 	resumedAt    atomic.Int64
 	exitExpected bool // the process was told to exit
 
@@ -47,6 +48,10 @@
 	peerPort
 )
 
+// handlerTime is how long a new process may take until it handles SIGHUP, which ends it
+// before.
+const handlerTime = time.Second
+
 // probeTimeout bounds a request that checks whether a host serves.
 const probeTimeout = 2 * time.Second
 
@@ -108,6 +113,7 @@
 		return err
 	}
 	h.process, h.exited, h.exitExpected = cmd, make(chan struct{}), false
+	h.launchedAt = time.Now()
 	h.launches.Add(1)
 	go h.awaitExit(cmd, h.exited)
 	return nil
@@ -181,6 +187,16 @@
 
 func processName(host string, launch int64) string { return fmt.Sprint(host, "/", launch) }
 
+// launchedSince reports whether the process was started after t.
+func (h *host) launchedSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.launchedAt.After(t)
+}
+
+// stoppedSince reports whether the planned stop of the process began after t.
+func (h *host) stoppedSince(t time.Time) bool { return h.stopOf(h.launches.Load()).After(t) }
+
 // resumedSince reports whether the process was resumed after t.
 func (h *host) resumedSince(t time.Time) bool {
 	resumed := h.resumedAt.Load()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -108,7 +108,7 @@
 
 // checkDrain checks that no request reaches a server too long after it began to
 // drain. The bound holds only while the store, the server and all hosts are
-// undisturbed.
+// undisturbed, and no host has just been told to stop.
 func (l *ledger) checkDrain(s *server, now time.Time) {
 	since := s.drainingSince()
 	if since.IsZero() || now.Sub(since) < drainTime+requestDuration {
@@ -117,9 +117,12 @@
 	subjects := []string{"store", s.id}
 	for _, h := range l.w.hosts {
 		subjects = append(subjects, h.name)
+		if h.stoppedSince(now.Add(-undisturbedPeriod)) {
+			return
+		}
 	}
 	if l.w.undisturbed(now, subjects...) {
-		l.w.addViolation("DRAIN", "%s began a request %v after its draining was acknowledged", s.id, now.Sub(since).Round(time.Millisecond))
+		l.w.addViolation(ruleDrain, "%s began a request %v after its draining was acknowledged", s.id, now.Sub(since).Round(time.Millisecond))
 	}
 }
 
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -27,7 +27,10 @@
 
 // keptCallers are numbers of callers that keep a connection to a stopping host: so few
 // that the host is idle at times, or so many that it never is.
-var keptCallers = []int{4, 12, 48}
+var keptCallers = []int{4, 12, 48, 150}
+
+// returnSpreads are times within which those callers return.
+var returnSpreads = []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second}
 
 // timedSignal is a signal sent some time after the first SIGTERM, or before it.
 type timedSignal struct {
@@ -52,12 +55,11 @@
 	p := stopPlan{
 		callers:  keptCallers[r.IntN(len(keptCallers))],
 		returnAt: randomDuration(r, graceTime),
-		spread:   randomDuration(r, time.Second),
+		spread:   returnSpreads[r.IntN(len(returnSpreads))],
 		downTime: randomDuration(r, maxDownTime),
 	}
-	if r.IntN(2) == 0 { // all at once, about when the host goes over to refusing
-		p.spread = 100 * time.Millisecond
-		p.returnAt = balancerTime - p.spread/2
+	if r.IntN(2) == 0 {
+		p.returnAt = balancerTime
 	}
 	for range r.IntN(maxSignals + 1) {
 		s := timedSignal{after: randomDuration(r, graceTime), signal: syscall.SIGHUP}
@@ -73,7 +75,7 @@
 // other; that of different kinds overlaps.
 var plannedKinds = []func(w *world, r *rand.Rand){
 	rollingStop,
-	func(w *world, r *rand.Rand) { hangupSeries(w, r) },
+	hangupSeries,
 	func(w *world, r *rand.Rand) { serverDrain(w, r.IntN(1<<16), randomDuration(r, longestFault)) },
 	func(w *world, r *rand.Rand) {
 		serverFull(w, r.IntN(1<<16), shortestFault+randomDuration(r, longestFault))
@@ -153,7 +155,7 @@
 func (h *host) signalLater(s timedSignal, exited chan struct{}) {
 	select {
 	case <-time.After(s.after):
-		h.signal(s.signal, false)
+		h.signal(s.signal, s.signal == syscall.SIGTERM)
 	case <-exited:
 	}
 }
@@ -179,10 +181,9 @@
 
 // hangupSeries sends SIGHUP to a host several times in a row.
 func hangupSeries(w *world, r *rand.Rand) {
-	h := w.host(r.IntN(1 << 16))
+	target := r.IntN(1 << 16)
 	for range 1 + r.IntN(maxSignals) {
-		w.logEvent("%s gets SIGHUP", h.name)
-		h.signal(syscall.SIGHUP, false)
+		hangup(w, target, 0)
 		time.Sleep(randomDuration(r, 100*time.Millisecond))
 	}
 }
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -239,6 +239,20 @@
 	require.Equal(t, 200, call(backend, "r", 7))
 }
 
+// The bound on servers that drain holds for hosts that were told to stop, but for a
+// moment after SIGTERM.
+func TestDrainBoundInPlannedStops(t *testing.T) {
+	w, h := newWorldWithHost(t)
+	s := w.servers[0]
+	s.draining, s.drainAckedAt = true, time.Now().Add(-time.Minute)
+	h.stops[h.launches.Load()] = time.Now()
+	require.Equal(t, 200, call(s.backend, "1", 7))
+	require.Empty(t, rules(w))
+	h.stops[h.launches.Load()] = time.Now().Add(-2 * undisturbedPeriod)
+	require.Equal(t, 200, call(s.backend, "2", 7))
+	require.Equal(t, []string{ruleDrain}, rules(w))
+}
+
 // A seed must give the same planned stops in each run.
 func TestSeedDecidesThePlannedStops(t *testing.T) {
 	require.Equal(t, newStopPlan(newRand(4)), newStopPlan(newRand(4)))
