--- a/soak/planned.go
+++ b/soak/planned.go
@@ -21,6 +21,10 @@
 	maxDownTime  = time.Second
 	// maxSignals is the largest number of signals beside the first SIGTERM.
 	maxSignals = 4
+	// maxConfigs is the largest number of configurations in a row.
+	maxConfigs = 4
+	// seriesPause bounds the pause between the signals or configurations of a series.
+	seriesPause = 100 * time.Millisecond
 	// plannedPause bounds the pause between two pieces of planned work of a kind.
 	plannedPause = 2 * time.Second
 )
@@ -80,6 +84,7 @@
 	func(w *world, r *rand.Rand) {
 		serverFull(w, r.IntN(1<<16), shortestFault+randomDuration(r, longestFault))
 	},
+	configSeries,
 }
 
 // plannedStream separates the random numbers of planned work from those of faults.
@@ -184,6 +189,16 @@
 	target := r.IntN(1 << 16)
 	for range 1 + r.IntN(maxSignals) {
 		hangup(w, target, 0)
-		time.Sleep(randomDuration(r, 100*time.Millisecond))
+		time.Sleep(randomDuration(r, seriesPause))
 	}
 }
+
+// configSeries publishes several configurations in a row.
+func configSeries(w *world, r *rand.Rand) {
+	for range 1 + r.IntN(maxConfigs) {
+		w.operator.publish()
+		w.logEvent("configuration %d", w.operator.newestVersion())
+		time.Sleep(randomDuration(r, seriesPause))
+	}
+	time.Sleep(configInterval)
+}
