--- a/soak/soak.go
+++ b/soak/soak.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -298,14 +299,23 @@
 // newest configuration. It returns a description of what is not served, or "".
 func (w *world) waitUntilServed(ctx context.Context, d time.Duration) string {
 	deadline := time.Now().Add(d)
-	for _, h := range w.hosts {
-		for _, key := range probedKeys {
-			for !h.serves(ctx, w.operator.newestVersion(), key) {
-				if time.Now().After(deadline) || ctx.Err() != nil {
-					return fmt.Sprintf("%s does not serve key %d", h.name, key)
-				}
-				time.Sleep(50 * time.Millisecond)
+	unserved := make([]string, len(w.hosts))
+	var running sync.WaitGroup
+	for i, h := range w.hosts {
+		running.Add(1)
+		go func() { defer running.Done(); unserved[i] = w.waitUntilHostServes(ctx, h, deadline) }()
+	}
+	running.Wait()
+	return strings.Join(slices.DeleteFunc(unserved, func(s string) bool { return s == "" }), "; ")
+}
+
+func (w *world) waitUntilHostServes(ctx context.Context, h *host, deadline time.Time) string {
+	for _, key := range probedKeys {
+		for !h.serves(ctx, w.operator.newestVersion(), key) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return fmt.Sprintf("%s does not serve key %d", h.name, key)
 			}
+			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return ""
