soak: a request dropped on a connection accepted for it is lost

net/http's Shutdown makes the server drop a request that it has just read whole on a connection accepted before (server.go: return if shuttingDown, after readRequest).

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -81,8 +81,11 @@
 	atMostOnce bool
 	body       string
 	sentAt     time.Time
-	required   int          // newest version that had to be in force when the request was sent
-	wroteAt    atomic.Int64 // when its last byte was sent, in Unix ns; 0 for not yet
+	required   int // newest version that had to be in force when the request was sent
+	// connectedAt is when a new connection was opened for it, wroteAt when its last byte
+	// was sent, both in Unix ns; 0 for not at all.
+	connectedAt atomic.Int64
+	wroteAt     atomic.Int64
 }
 
 // call sends one request and checks its answer. The HTTP client waits longer than
@@ -123,9 +126,14 @@
 	c.check(a, resp, string(body), err)
 }
 
-// trace returns a context that records when the request has been sent whole.
+// trace returns a context that records when the request is sent.
 func (a *attempt) trace() context.Context {
 	return httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !info.Reused {
+				a.connectedAt.Store(time.Now().UnixNano())
+			}
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil {
 				a.wroteAt.Store(time.Now().UnixNano())
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -12,6 +13,10 @@
 // may still cross the close of its connection.
 const lossSlack = 200 * time.Millisecond
 
+// sendSlack is how soon after it was connected a caller must have sent its request, so
+// that a host has no reason to close the connection.
+const sendSlack = 50 * time.Millisecond
+
 // unanswered is a request without a complete answer.
 type unanswered struct {
 	attempt  *attempt
@@ -49,8 +54,10 @@
 }
 
 // checkUnanswered checks that hosts answered or refused what was sent to them whole: a
-// request that was passed on must be answered, and another must not wait for longer
-// than lossSlack before its connection closes. It runs after all requests have ended,
+// request that was passed on must be answered. Another must neither wait for longer than
+// lossSlack before its connection closes nor be dropped on a connection that the host had
+// accepted for it. The rest crossed the close of a kept connection or of the listener,
+// which a host cannot avoid. It runs after all requests have ended,
 // since a request may be passed on after its connection has closed.
 func (l *ledger) checkUnanswered() {
 	l.mu.Lock()
@@ -58,9 +65,13 @@
 	for _, u := range l.unanswered {
 		reached := l.reached[u.attempt.id]
 		switch {
-		case len(reached) > 0 && !u.excused(reached), u.waited() > lossSlack && len(reached) == 0:
-			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
-		case len(reached) == 0 && u.waited() > 0 && u.attempt.direct:
+		case len(reached) > 0:
+			if !u.excused(reached) {
+				l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
+			}
+		case u.waited() > lossSlack || u.accepted():
+			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, nil))
+		case u.waited() > 0 && u.attempt.direct:
 			l.w.addCrossed(u.closedAt, u.describe(l.w, nil))
 		}
 	}
@@ -76,6 +87,18 @@
 	return false
 }
 
+// accepted reports whether the host accepted a new connection for the request and closed
+// it in an orderly way. Connections that wait to be accepted are reset when the listener
+// closes.
+func (u unanswered) accepted() bool {
+	a := u.attempt
+	connected, wrote := a.connectedAt.Load(), a.wroteAt.Load()
+	if !a.direct || connected == 0 || wrote == 0 {
+		return false
+	}
+	return errors.Is(u.err, io.EOF) && time.Duration(wrote-connected) <= sendSlack
+}
+
 // waited returns the time from the request's last byte to the close, or 0 if it was not
 // sent whole.
 func (u unanswered) waited() time.Duration {
@@ -97,6 +120,9 @@
 	if len(reached) > 0 {
 		fmt.Fprintf(&out, "reached %s, ", reached[0].id)
 	}
+	if a.connectedAt.Load() != 0 {
+		out.WriteString("on a new connection, ")
+	}
 	fmt.Fprintf(&out, "closed %.3f ms after its last byte: %v", float64(u.waited().Microseconds())/1000, u.err)
 	return out.String()
 }
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,8 +17,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
-// errClosed stands for a connection that the host closed.
-var errClosed = errors.New("EOF")
+// errClosed is what a caller gets if the host closes the connection.
+var errClosed = &url.Error{Op: "Post", Err: io.EOF}
 
 // keyOf is a key that the i-th server of newWorldWithHost holds.
 func keyOf(i int) int { return 100 * i }
@@ -48,6 +50,12 @@
 	return a
 }
 
+// connectAt returns a function that makes a request one on a connection that was opened
+// some time before its last byte.
+func connectAt(before time.Duration) func(*world, *attempt) {
+	return func(_ *world, a *attempt) { a.connectedAt.Store(a.wroteAt.Load() - int64(before)) }
+}
+
 func TestRequestWithoutAnswerIsReported(t *testing.T) {
 	const while = 500 * time.Millisecond // longer than lossSlack
 	cases := []struct {
@@ -61,7 +69,10 @@
 	}{
 		{name: "passed on, then closed", reaches: true, lost: true},
 		{name: "closed after a while without being passed on", age: while, lost: true},
-		{name: "its bytes crossed the close", crossed: true},
+		{name: "its bytes crossed the close of a kept connection", crossed: true},
+		{name: "dropped on a connection that was accepted for it", prepare: connectAt(0), lost: true},
+		{name: "in the backlog of a listener that closed", prepare: connectAt(0), err: syscall.ECONNRESET, crossed: true},
+		{name: "sent long after the connection was opened", prepare: connectAt(time.Second), crossed: true},
 		{name: "not sent whole", age: while, prepare: func(_ *world, a *attempt) { a.wroteAt.Store(0) }},
 		{name: "the time of the request was over", age: callTimeout, reaches: true},
 		{name: "the caller waited in vain", age: while, err: os.ErrDeadlineExceeded},
@@ -94,9 +105,9 @@
 			if c.prepare != nil {
 				c.prepare(w, a)
 			}
-			err := c.err
-			if err == nil {
-				err = errClosed
+			var err error = errClosed
+			if c.err != nil {
+				err = &url.Error{Op: "Post", Err: c.err}
 			}
 			w.ledger.addUnanswered(a, err)
 			if c.reaches { // also after the close
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,8 +83,8 @@
 	Requests int      // sent by callers
 	Served   int      // answered with status 200
 	Faults   []string // faults and new configurations, in order
-	// Crossed lists requests that a host closed the connection of within lossSlack,
-	// without having passed them on: their bytes crossed the close.
+	// Crossed lists requests whose connection a host closed within lossSlack, without
+	// having passed them on: their bytes crossed the close.
 	Crossed    []string
 	Violations []Violation
 }
