soak: a request to a server that is cut off may go unanswered

The audit took it for a request that the host had not passed on, since it never arrived. The rule excuses a cut of the backend server, so a request that reached none is excused by a fault of any. One that reached a server is excused by a fault of that server only, as before.

--- a/soak/lost.go
+++ b/soak/lost.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -39,7 +40,9 @@
 	}
 	u := unanswered{attempt: a, closedAt: now, err: err, impaired: map[*server]bool{}}
 	for _, s := range l.w.servers {
-		u.impaired[s] = !l.w.unimpaired(now, s.id)
+		if !l.w.unimpaired(now, s.id) {
+			u.impaired[s] = true
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -65,26 +68,22 @@
 	for _, u := range l.unanswered {
 		reached := l.reached[u.attempt.id]
 		switch {
-		case len(reached) > 0:
-			if !u.excused(reached) {
-				l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
-			}
-		case u.waited() > lossSlack || u.accepted():
-			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, nil))
+		case u.excused(reached):
+		case len(reached) > 0 || u.waited() > lossSlack || u.accepted():
+			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
 		case u.waited() > 0 && u.attempt.direct:
 			l.w.addCrossed(u.closedAt, u.describe(l.w, nil))
 		}
 	}
 }
 
-// excused reports whether a fault disturbed a server that the request had reached.
+// excused reports whether a fault disturbed a server that the request had reached. One that
+// reached none may have been sent to any server whose connections are disturbed.
 func (u unanswered) excused(reached []*server) bool {
-	for _, s := range reached {
-		if u.impaired[s] {
-			return true
-		}
+	if len(reached) == 0 {
+		return len(u.impaired) > 0
 	}
-	return false
+	return slices.ContainsFunc(reached, func(s *server) bool { return u.impaired[s] })
 }
 
 // accepted reports whether the host accepted a new connection for the request and closed
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -69,6 +69,10 @@
 	}{
 		{name: "passed on, then closed", reaches: true, lost: true},
 		{name: "closed after a while without being passed on", age: while, lost: true},
+		{
+			name: "it may have been sent to a server that was cut off", age: while,
+			prepare: func(w *world, _ *attempt) { w.recordFault("b", time.Now()) },
+		},
 		{name: "its bytes crossed the close of a kept connection", crossed: true},
 		{name: "dropped on a connection that was accepted for it", prepare: connectAt(0), lost: true},
 		{name: "in the backlog of a listener that closed", prepare: connectAt(0), err: syscall.ECONNRESET, crossed: true},
