--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -28,13 +28,21 @@
 	answers  []answer
 	backends []*platformtest.Backend
 	servers  map[*platformtest.Backend]*server // of the backends that are running
+	// reached holds the servers that each request reached.
+	reached    map[string][]*server
+	unanswered []unanswered
 	// overlaps holds, by key, each backend that began a request of the key (a) while
 	// another held the key too (b).
 	overlaps map[uint64]map[pair]bool
 }
 
 func newLedger(w *world) *ledger {
-	return &ledger{w: w, servers: map[*platformtest.Backend]*server{}, overlaps: map[uint64]map[pair]bool{}}
+	return &ledger{
+		w:        w,
+		servers:  map[*platformtest.Backend]*server{},
+		reached:  map[string][]*server{},
+		overlaps: map[uint64]map[pair]bool{},
+	}
 }
 
 func (l *ledger) newID(prefix string) string {
@@ -100,7 +108,7 @@
 
 // checkDrain checks that no request reaches a server too long after it began to
 // drain. The bound holds only while the store, the server and all hosts are
-// undisturbed.
+// undisturbed, and no host has just been told to stop.
 func (l *ledger) checkDrain(s *server, now time.Time) {
 	since := s.drainingSince()
 	if since.IsZero() || now.Sub(since) < drainTime+requestDuration {
@@ -109,9 +117,12 @@
 	subjects := []string{"store", s.id}
 	for _, h := range l.w.hosts {
 		subjects = append(subjects, h.name)
+		if h.stoppedSince(now.Add(-undisturbedPeriod)) {
+			return
+		}
 	}
 	if l.w.undisturbed(now, subjects...) {
-		l.w.addViolation("DRAIN", "%s began a request %v after its draining was acknowledged", s.id, now.Sub(since).Round(time.Millisecond))
+		l.w.addViolation(ruleDrain, "%s began a request %v after its draining was acknowledged", s.id, now.Sub(since).Round(time.Millisecond))
 	}
 }
 
