--- a/soak/planned.go
+++ b/soak/planned.go
@@ -18,7 +18,8 @@
 	connectTime = 200 * time.Millisecond
 	// maxKeptPause bounds the pause between the requests on a kept connection.
 	maxKeptPause = 800 * time.Millisecond
-	maxDownTime  = time.Second
+	// maxDownTime bounds the time from the end of a process to its restart.
+	maxDownTime = time.Second
 	// maxSignals is the largest number of signals beside the first SIGTERM.
 	maxSignals = 4
 	// maxConfigs is the largest number of configurations in a row.
@@ -36,7 +37,7 @@
 // returnSpreads are times within which those callers return.
 var returnSpreads = []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second}
 
-// timedSignal is a signal sent some time after the first SIGTERM, or before it.
+// timedSignal is a signal sent some time after the first SIGTERM.
 type timedSignal struct {
 	after  time.Duration
 	signal syscall.Signal
