entry: assemble a host in short steps

The member, the configuration of the control loop and the way of requests are assembled by functions of their own. No change of behaviour.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,19 +103,48 @@
 	if err != nil {
 		return nil, err
 	}
-	incarnation, err := newIncarnation()
+	self, err := newMember(h)
 	if err != nil {
 		return nil, err
 	}
-	self := ownership.Member{
+	logger = logger.With(zap.String("host", h.Name))
+	host := &Host{
+		Settings:      h,
+		Backends:      backend.NewSet(ports.BackendDial),
+		Steps:         steps.NewRing(recentRequests),
+		logger:        logger.Named("entry"),
+		peerClient:    peer.NewClient(ports.PeerDial),
+		requestClient: peer.NewRequestClient(ports.PeerDial),
+		listenFunc:    ports.Listen,
+		tlsSource:     tlsSource,
+	}
+	host.Control = control.New(controlConfig(h, self), ports.Log, host.peerClient, logger)
+	host.watcher = newBackendWatcher(h.Name, ports, host.Control, host.Backends, logger)
+	if err := host.assembleRouter(self.ID); err != nil {
+		return nil, err
+	}
+	host.configureServers(routing.NewServer(host.Router))
+	host.mountOperatorAPI(ports.Log)
+	return host, nil
+}
+
+// newMember returns the member that this run of the host's process joins as.
+func newMember(h settings.Host) (ownership.Member, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return ownership.Member{}, err
+	}
+	return ownership.Member{
 		ID:       ownership.MemberID(h.Name + "/" + incarnation),
 		Host:     h.Name,
 		Domain:   h.Domain,
 		PeerAddr: h.Peer,
-	}
-	logger = logger.With(zap.String("host", h.Name))
-	peers := peer.NewClient(ports.PeerDial)
-	cfg := control.Config{
+	}, nil
+}
+
+// controlConfig returns the configuration of the control loop.
+func controlConfig(h settings.Host, self ownership.Member) control.Config {
+	return control.Config{
 		Cell:  h.Cell,
 		Seeds: h.Seeds,
 		Machine: ownership.Config{
@@ -125,44 +154,30 @@
 			Margin: ownership.DefaultMargin,
 		},
 	}
-	loop := control.New(cfg, ports.Log, peers, logger)
-	backends := backend.NewSet(ports.BackendDial)
-	watcher := newBackendWatcher(h.Name, ports, loop, backends, logger)
+}
+
+// assembleRouter sets up the way of requests, whether they come from callers or from
+// other hosts.
+func (h *Host) assembleRouter(self ownership.MemberID) error {
 	claims := claim.NewTable()
-	requestClient := peer.NewRequestClient(ports.PeerDial)
-	coordinator := claim.NewCoordinator(self.ID, claims, requestClient)
-	recent := steps.NewRing(recentRequests)
-	router := routing.New(routing.Deps{
-		Steps:    recent,
-		Source:   loop,
-		Backends: backends,
-		Peers:    requestClient,
-		Claims:   coordinator,
-		Domain:   h.Domain,
-		HotKeys:  watcher.keyCounter,
+	h.claimCoordinator = claim.NewCoordinator(self, claims, h.requestClient)
+	h.Router = routing.New(routing.Deps{
+		Steps:    h.Steps,
+		Source:   h.Control,
+		Backends: h.Backends,
+		Peers:    h.requestClient,
+		Claims:   h.claimCoordinator,
+		Domain:   h.Settings.Domain,
+		HotKeys:  h.watcher.keyCounter,
 	})
-	loop.AddRequestHolder(router.InFlight())
-	server, err := peer.NewServer(loop, peer.RequestService(router.ForwardedHandler(), claims))
+	h.Control.AddRequestHolder(h.Router.InFlight())
+	requests := peer.RequestService(h.Router.ForwardedHandler(), claims)
+	server, err := peer.NewServer(h.Control, requests)
 	if err != nil {
-		return nil, err
-	}
-	host := &Host{
-		Settings:         h,
-		Control:          loop,
-		Router:           router,
-		Backends:         backends,
-		Steps:            recent,
-		logger:           logger.Named("entry"),
-		peerClient:       peers,
-		peerServer:       server,
-		requestClient:    requestClient,
-		claimCoordinator: coordinator,
-		watcher:          watcher,
+		return err
 	}
-	host.tlsSource, host.listenFunc = tlsSource, ports.Listen
-	host.configureServers(routing.NewServer(router))
-	host.mountOperatorAPI(ports.Log)
-	return host, nil
+	h.peerServer = server
+	return nil
 }
 
 // configureServers sets up the metrics and the HTTP servers for callers and
@@ -198,6 +213,7 @@
 	return source, nil
 }
 
+// newIncarnation returns a random ID for one run of the process.
 func newIncarnation() (string, error) {
 	b := make([]byte, incarnationBytes)
 	if _, err := rand.Read(b); err != nil {
