assigner: one file per job, and short functions

Configuration, reports, appends, maps, a service's plan, orphaned ranges and merges have files of their own, and each constant stands beside its use. plan, planService and StepLoaded are split; the tolerance of 1.2 for a part that moves as a whole has a name.

--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -4,6 +4,34 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
+)
+
+const (
+	// minMoveInterval is the minimum time between moves of a range for balance.
+	minMoveInterval = 1500 * time.Millisecond
+	// minMoveIntervalOverloaded replaces minMoveInterval for a server whose
+	// utilization exceeds overloadFactor times the mean.
+	minMoveIntervalOverloaded = 300 * time.Millisecond
+	overloadFactor            = 1.7
+	// A plan contains at least minMovesPerPlan moves for balance, and one for each
+	// serversPerMove servers, so that a hot spot spreads in the same time over many
+	// servers as over few. maxMovesPerPlan bounds the time that a plan takes.
+	minMovesPerPlan = 6
+	serversPerMove  = 8
+	maxMovesPerPlan = 100
+	// imbalanceFactor is the utilization relative to the mean above which a server's
+	// load is reduced.
+	imbalanceFactor = 1.25
+	// noiseSigmas is the number of standard deviations of counting noise by which a
+	// server's load must exceed its fair share before it is reduced.
+	noiseSigmas = 1.5
+	// minLoadPerServer is the number of remembered requests per server below which a
+	// service is not balanced.
+	minLoadPerServer = 3.0
+	// wholeRangeTolerance is the load of a part, relative to the load that should
+	// move, up to which the part moves as a whole.
+	wholeRangeTolerance = 1.2
 )
 
 // balance moves load from the servers with the highest utilization to those with the
@@ -21,15 +49,6 @@
 	}
 }
 
-// capacity returns the total capacity of all servers.
-func (p *servicePlan) capacity() float64 {
-	sum := 0.0
-	for _, n := range p.nodes {
-		sum += n.capacity
-	}
-	return sum
-}
-
 // moveOne makes the most useful move and reports whether there was one.
 func (p *servicePlan) moveOne(now Time, mean float64) bool {
 	sort.SliceStable(p.nodes, func(i, j int) bool { return p.nodes[i].utilization() > p.nodes[j].utilization() })
@@ -87,7 +106,7 @@
 		return false
 	}
 	r := p.ranges[best]
-	if r.load <= amount*1.2 {
+	if r.load <= amount*wholeRangeTolerance {
 		to := p.neighbourOr(best-1, r.load, p.neighbourOr(best+1, r.load, cold))
 		p.assign(&p.ranges[best], to, CauseBalance)
 		return true
@@ -98,7 +117,7 @@
 // betterFit reports whether load a suits a move of amount better than b: loads that
 // fit the amount are preferred, then the larger.
 func betterFit(a, b, amount float64) bool {
-	fitsA, fitsB := a <= amount*1.2, b <= amount*1.2
+	fitsA, fitsB := a <= amount*wholeRangeTolerance, b <= amount*wholeRangeTolerance
 	if fitsA != fitsB {
 		return fitsA && a > amount*0.5 || !fitsA && b <= amount*0.5
 	}
@@ -138,55 +157,6 @@
 	return true
 }
 
-// join merges neighbouring ranges of one server when there are many ranges, since
-// each range costs a renewal per interval. The server needs a new token for the
-// merged range, but keeps what it holds.
-func (p *servicePlan) join() {
-	if len(p.ranges) <= maxRangesPerServer*len(p.nodes) {
-		return
-	}
-	out := p.ranges[:1]
-	for _, r := range p.ranges[1:] {
-		last := &out[len(out)-1]
-		if last.grantedToOwner() && r.grantedToOwner() && joinable(last.Range, r.Range) {
-			last.To = r.To
-			last.load += r.load
-			last.Fence = 0
-			p.changed = true
-			continue
-		}
-		out = append(out, r)
-	}
-	p.ranges = out
-}
-
-// absorb assigns ranges with little load to the owner of the preceding range when
-// there are many ranges, so that join can merge them.
-func (p *servicePlan) absorb(now Time) {
-	if len(p.ranges) <= maxRangesPerServer*len(p.nodes) {
-		return
-	}
-	fair := p.weights.total / float64(len(p.nodes))
-	for i, left := 1, maxAbsorbedPerPlan; i < len(p.ranges) && left > 0; i++ {
-		r := &p.ranges[i]
-		to := p.ranges[i-1].owner
-		if !r.grantedToOwner() || r.Fence == 0 || now-r.state.movedAt < minMoveInterval || to == nil || to == r.owner {
-			continue
-		}
-		if to.full || r.load > smallShare*fair || to.load+r.load > imbalanceFactor*p.mean*to.capacity {
-			continue
-		}
-		p.assign(r, to, CauseAbsorb)
-		left--
-	}
-}
-
-// grantedToOwner reports whether the range is granted to its planned owner. It also
-// holds for a range that this plan has just merged from such ranges.
-func (r *planned) grantedToOwner() bool {
-	return r.state != nil && r.state.Granted && r.owner != nil && r.Owner == r.state.Owner
-}
-
 // neighbourOr returns the owner of range i if it has capacity for load, else n.
 // Adjacent ranges of one server can be merged.
 func (p *servicePlan) neighbourOr(i int, load float64, n *node) *node {
@@ -199,3 +169,8 @@
 	}
 	return owner
 }
+
+// maxMoves returns the number of moves for balance that the plan may contain.
+func (p *servicePlan) maxMoves() int {
+	return min(max(minMovesPerPlan, len(p.nodes)/serversPerMove), maxMovesPerPlan)
+}
--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -50,8 +50,7 @@
 func (m *Machine) StepLoaded(now Time, e Loaded) {
 	m.storeBusy = false
 	if e.Result != StoreOK {
-		m.loadRetryDelay = min(max(2*m.loadRetryDelay, storeRetryDelay), MaxRetryDelay(m.suspects.registered))
-		m.storeRetryAt = now + m.loadRetryDelay
+		m.retryLoad(now)
 		return
 	}
 	m.loadRetryDelay = 0
@@ -64,34 +63,46 @@
 	if m.pending != nil && m.resolvePending(now, e, rec) {
 		return
 	}
-	// A follower learns of epochs and assigners from other hosts, but not of every
-	// change of the record. A later change within the epoch of a silent assigner
-	// therefore does not show that it is alive.
-	newer := rec.Epoch > m.known.Epoch || rec.Assigner != m.known.Assigner
-	later := m.known.Version().Less(rec.Version())
+	before := m.known
 	m.known = rec
-	if m.role == leading {
+	switch {
+	case m.role == leading:
 		m.stepDown(now)
-		return
-	}
-	if rec.Assigner == m.cfg.Self && !m.resigned {
+	case rec.Assigner == m.cfg.Self && !m.resigned:
 		m.startEpoch(now, e.Start)
-		return
+	default:
+		m.followOrClaim(now, before, rec)
 	}
+}
+
+// retryLoad schedules the next read of the store after one that failed.
+func (m *Machine) retryLoad(now Time) {
+	m.loadRetryDelay = min(max(2*m.loadRetryDelay, storeRetryDelay), MaxRetryDelay(m.suspects.registered))
+	m.storeRetryAt = now + m.loadRetryDelay
+}
+
+// followOrClaim decides whether to wait for the assigner that the store names or to
+// claim the next epoch. before is the record that was known before rec was read.
+//
+// A follower learns of epochs and assigners from other hosts, but not of every change
+// of the record. A later change within the epoch of a silent assigner therefore does
+// not show that it is alive.
+func (m *Machine) followOrClaim(now Time, before, rec Record) {
+	newer := rec.Epoch > before.Epoch || rec.Assigner != before.Assigner
+	later := before.Version().Less(rec.Version())
 	other := rec.Assigner.Name != "" && rec.Assigner.Name != m.cfg.Self.Name
-	if other && newer {
+	switch {
+	case other && newer:
 		m.heardAt = now + takeoverTime // another assigner was found: give it time to answer
 		m.publishRecorded(rec)
-		return
-	}
-	if other && now-m.heardAt < m.claimWait() {
+	case other && now-m.heardAt < m.claimWait():
 		m.storeRetryAt = now + m.cfg.SilenceBeforeClaim
 		if later {
 			m.publishRecorded(rec) // the assigner may be unreachable from this host
 		}
-		return
+	default:
+		m.claim(now)
 	}
-	m.claim(now)
 }
 
 // claimWait returns how long this host hears from no assigner before it claims.
@@ -128,25 +139,6 @@
 	m.emit(Publish{Map: out})
 }
 
-// resolvePending resolves an append that is in doubt, and reports whether this
-// completes the handling of the load. The record is appended again only while the
-// partition still ends at the offset of the first attempt: what this host has since
-// heard from others does not tell what the store contains.
-func (m *Machine) resolvePending(now Time, e Loaded, rec Record) bool {
-	p := *m.pending
-	if rec.Assigner == p.Assigner && rec.Version() == p.Version() {
-		m.StepAppended(now, Appended{Result: StoreOK, Start: e.Start, End: e.End})
-		return true
-	}
-	if e.End == m.pendingAt || m.omit.samePlace {
-		m.storeBusy = true // the same record at the same offset: a late first append changes nothing
-		m.emit(Append{At: m.end, Record: p})
-		return true
-	}
-	m.pending = nil
-	return false
-}
-
 func (m *Machine) claim(now Time) {
 	if m.resigned {
 		return
@@ -182,54 +174,6 @@
 	return out
 }
 
-// joinable reports whether b can be merged into a: both have the same owner, are
-// adjacent and have no earlier holders.
-func joinable(a, b keyrange.Range) bool {
-	return a.Owner == b.Owner && int(a.To)+1 == int(b.From) && len(a.Prior) == 0 && len(b.Prior) == 0
-}
-
-func (m *Machine) append(rec Record, moves []Move) {
-	m.pending, m.pendingAt = &rec, m.end
-	m.storeBusy = true
-	if m.omit.record && m.role == leading {
-		m.adopt(m.plannedAt, rec)
-	}
-	m.emit(Append{At: m.end, Record: rec, Moves: moves})
-}
-
-// StepAppended processes the result of an Append.
-func (m *Machine) StepAppended(now Time, e Appended) {
-	m.storeBusy = false
-	if m.pending == nil {
-		return
-	}
-	switch e.Result {
-	case StoreOK:
-		rec := *m.pending
-		m.pending, m.end = nil, e.End
-		m.known = rec
-		if m.role == leading {
-			m.confirmedAt = max(m.confirmedAt, e.Start)
-			m.adopt(now, rec)
-		} else if !m.resigned {
-			m.startEpoch(now, e.Start)
-		}
-	case StoreConflict, StoreInDoubt:
-		// Only a read of the store shows whose record was appended first.
-		m.storeBusy = true
-		m.emit(Load{})
-		if m.role == claiming {
-			m.role = follower
-		}
-	case StoreFailed:
-		m.storeRetryAt = now + storeRetryDelay
-		m.pending = nil
-		if m.role == claiming {
-			m.role = follower
-		}
-	}
-}
-
 // stepDown ends this host's epoch after another host's claim. A host that the others
 // cannot reach soon loses every epoch that it claims, so its delay before the next
 // claim doubles each time.
--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -98,51 +98,6 @@
 	Handover string // token of the holder's state, to be passed to the next owner
 }
 
-// KeyLoad is the number of requests for one key in a report.
-type KeyLoad struct {
-	Service string       `json:"s"`
-	Key     keyrange.Key `json:"k"`
-	Count   int          `json:"n"`
-}
-
-// ServerLatency is the latency of one request at a server.
-type ServerLatency struct {
-	ID     string `json:"i"`
-	Millis int    `json:"m"`
-}
-
-// ServerCount is the number of requests that a server rejected in a report.
-type ServerCount struct {
-	ID    string `json:"i"`
-	Count int    `json:"n"`
-}
-
-// FullServer is a server that wants no requests from the reporting host for a while.
-type FullServer struct {
-	Holder keyrange.Holder `json:"holder"`
-	ForMS  int64           `json:"ms"` // remaining time in milliseconds
-}
-
-// MaxFull bounds the time for which a server counts as full after a report.
-const MaxFull = 5 * time.Minute
-
-// Report is what a host has observed since its last report.
-type Report struct {
-	Keys      []KeyLoad       `json:"keys,omitempty"`
-	Latencies []ServerLatency `json:"times,omitempty"`
-	// Rejected lists the servers that shed requests or closed their connections.
-	Rejected []ServerCount `json:"rejected,omitempty"`
-	// Refused lists the servers at whose address no process listened. Reached lists
-	// those at which one did, or whose state could not be determined.
-	Refused []keyrange.Holder `json:"refused,omitempty"`
-	Reached []keyrange.Holder `json:"reached,omitempty"`
-	// Leaving lists the servers that have answered that they leave. The machine gets
-	// them with its directory, in which they are draining.
-	Leaving []keyrange.Holder `json:"leaving,omitempty"`
-	// Full lists the servers that want no requests from the host at present.
-	Full []FullServer `json:"full,omitempty"`
-}
-
 // Action is an operation that the caller of the machine carries out.
 type Action interface{ action() }
 
--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -6,6 +6,10 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
+// uniformShare is the extra load that is spread evenly over all keys, relative to the
+// counted load, to allow for keys that have not been requested yet.
+const uniformShare = 0.15
+
 // weights holds the prefix sums of the load of a service's keys.
 type weights struct {
 	sum      []float64 // sum[i] is the load of the keys below i
