--- a/cluster/clock.go
+++ b/cluster/clock.go
@@ -6,11 +6,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock returns the time since a fixed moment, including time in which the machine was
+// Clock returns the time since a fixed moment, including time in which the host was
 // suspended.
 type Clock func() time.Duration
 
-// BootClock reads the boot-time clock, which keeps running while the machine is
+// BootClock reads the boot-time clock, which keeps running while the host is
 // suspended.
 func BootClock() time.Duration {
 	var t unix.Timespec
