assigner, cluster: one word for each thing

node is a word of the platform's pages for a host; in a plan it was a backend server: plannedServer, beside plannedRange. hot and cold servers of a move are from and to, as cold already means a server that has just started. The host that leads is the assigner everywhere. moveLoad leaves the choice of a range to rangeToMove. The change to full_test.go is the renaming alone.

--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -32,6 +32,9 @@
 	// wholeRangeTolerance is the load of a part, relative to the load that should
 	// move, up to which the part moves as a whole.
 	wholeRangeTolerance = 1.2
+	// minPartToMove is the load of a range, relative to the load that should move, up
+	// to which the range is not worth a move.
+	minPartToMove = 0.2
 )
 
 // balance moves load from the servers with the highest utilization to those with the
@@ -39,7 +42,7 @@
 // servers of different speed.
 func (p *servicePlan) balance(now Time) {
 	p.mean = p.weights.total / p.capacity()
-	if p.weights.requests < minLoadPerServer*float64(len(p.nodes)) || len(p.nodes) < 2 {
+	if p.weights.requests < minLoadPerServer*float64(len(p.servers)) || len(p.servers) < 2 {
 		return
 	}
 	for range p.maxMoves() {
@@ -51,30 +54,30 @@
 
 // moveOne makes the most useful move and reports whether there was one.
 func (p *servicePlan) moveOne(now Time, mean float64) bool {
-	sort.SliceStable(p.nodes, func(i, j int) bool { return p.nodes[i].utilization() > p.nodes[j].utilization() })
-	cold := p.coldest()
-	if cold == nil {
+	sort.SliceStable(p.servers, func(i, j int) bool { return p.servers[i].utilization() > p.servers[j].utilization() })
+	to := p.leastUtilized()
+	if to == nil {
 		return false
 	}
-	for _, hot := range p.nodes {
-		fair := mean * hot.capacity
-		if hot.utilization() < mean*imbalanceFactor || hot.load-fair < noiseSigmas*math.Sqrt(max(fair, 1)) {
+	for _, from := range p.servers {
+		fair := mean * from.capacity
+		if from.utilization() < mean*imbalanceFactor || from.load-fair < noiseSigmas*math.Sqrt(max(fair, 1)) {
 			continue
 		}
-		amount := min(hot.load-fair, mean*cold.capacity-cold.load)
+		amount := min(from.load-fair, mean*to.capacity-to.load)
 		if amount <= 0 {
 			return false
 		}
-		if p.moveLoad(now, hot, cold, amount) {
+		if p.moveLoad(now, from, to, amount) {
 			return true
 		}
 	}
 	return false
 }
 
-// coldest returns the last of the sorted servers that may get more load, or nil.
-func (p *servicePlan) coldest() *node {
-	for _, n := range slices.Backward(p.nodes) {
+// leastUtilized returns the last of the sorted servers that may get more load, or nil.
+func (p *servicePlan) leastUtilized() *plannedServer {
+	for _, n := range slices.Backward(p.servers) {
 		if !n.full {
 			return n
 		}
@@ -82,36 +85,43 @@
 	return nil
 }
 
-// moveLoad moves about amount of load from hot to cold. It reports whether a range
+// moveLoad moves about amount of load between two servers. It reports whether a range
 // could be moved.
-func (p *servicePlan) moveLoad(now Time, hot, cold *node, amount float64) bool {
+func (p *servicePlan) moveLoad(now Time, from, to *plannedServer, amount float64) bool {
+	best := p.rangeToMove(now, from, amount)
+	if best < 0 {
+		return false
+	}
+	r := &p.ranges[best]
+	if r.load > amount*wholeRangeTolerance {
+		return p.splitAndAssign(best, to, amount)
+	}
+	owner := p.neighbourOr(best-1, r.load, p.neighbourOr(best+1, r.load, to))
+	p.assign(r, owner, CauseBalance)
+	return true
+}
+
+// rangeToMove returns the index of the range of a server that suits a move of amount
+// best, or -1.
+func (p *servicePlan) rangeToMove(now Time, from *plannedServer, amount float64) int {
 	minInterval := minMoveInterval
-	if hot.utilization() > overloadFactor*p.mean {
+	if from.utilization() > overloadFactor*p.mean {
 		minInterval = minMoveIntervalOverloaded
 	}
 	best := -1
 	for i := range p.ranges {
 		r := &p.ranges[i]
-		if r.owner != hot || r.Fence == 0 || r.state == nil || !r.state.Granted {
+		if r.owner != from || r.Fence == 0 || r.state == nil || !r.state.Granted {
 			continue
 		}
-		if now-r.state.movedAt < minInterval || r.load <= amount*0.2 {
+		if now-r.state.movedAt < minInterval || r.load <= amount*minPartToMove {
 			continue
 		}
 		if best < 0 || betterFit(r.load, p.ranges[best].load, amount) {
 			best = i
 		}
 	}
-	if best < 0 {
-		return false
-	}
-	r := p.ranges[best]
-	if r.load <= amount*wholeRangeTolerance {
-		to := p.neighbourOr(best-1, r.load, p.neighbourOr(best+1, r.load, cold))
-		p.assign(&p.ranges[best], to, CauseBalance)
-		return true
-	}
-	return p.splitAndAssign(best, cold, amount)
+	return best
 }
 
 // betterFit reports whether load a suits a move of amount better than b: loads that
@@ -127,7 +137,7 @@
 // splitAndAssign splits about amount of load off one end of a range, the end at which
 // fewer keys carry it, and assigns that part to n. If one key at that end carries much
 // more, the other part is assigned to n.
-func (p *servicePlan) splitAndAssign(i int, n *node, amount float64) bool {
+func (p *servicePlan) splitAndAssign(i int, n *plannedServer, amount float64) bool {
 	r := p.ranges[i]
 	if r.Width() < 2 {
 		return false
@@ -135,7 +145,7 @@
 	low := p.weights.keyAtLoad(r.From, r.To, amount)
 	high := p.weights.keyAtLoad(r.From, r.To, r.load-amount)
 	low, high = min(low, r.To-1), min(high, r.To-1)
-	var keep, move planned
+	var keep, move plannedRange
 	if int(low)-int(r.From) <= int(r.To)-int(high) {
 		move, keep = p.split(r, low)
 		n = p.neighbourOr(i-1, move.load, n)
@@ -143,7 +153,7 @@
 		keep, move = p.split(r, high)
 		n = p.neighbourOr(i+1, move.load, n)
 	}
-	tooMuch := func(part planned) bool { return part.load > 2*amount+1 && part.load > r.load*0.9 }
+	tooMuch := func(part plannedRange) bool { return part.load > 2*amount+1 && part.load > r.load*0.9 }
 	if tooMuch(move) {
 		keep, move = move, keep
 	}
@@ -159,7 +169,7 @@
 
 // neighbourOr returns the owner of range i if it has capacity for load, else n.
 // Adjacent ranges of one server can be merged.
-func (p *servicePlan) neighbourOr(i int, load float64, n *node) *node {
+func (p *servicePlan) neighbourOr(i int, load float64, n *plannedServer) *plannedServer {
 	if i < 0 || i >= len(p.ranges) {
 		return n
 	}
@@ -172,5 +182,5 @@
 
 // maxMoves returns the number of moves for balance that the plan may contain.
 func (p *servicePlan) maxMoves() int {
-	return min(max(minMovesPerPlan, len(p.nodes)/serversPerMove), maxMovesPerPlan)
+	return min(max(minMovesPerPlan, len(p.servers)/serversPerMove), maxMovesPerPlan)
 }
--- a/assigner/full_test.go
+++ b/assigner/full_test.go
@@ -73,13 +73,13 @@
 
 // A range does not go to the owner of its neighbour either if that is full.
 func TestNeighbourThatIsFullGetsNothing(t *testing.T) {
-	free, full := &node{capacity: 1}, &node{capacity: 1, full: true}
-	p := &servicePlan{mean: 10, nodes: []*node{free, full}, ranges: []planned{{owner: full}, {owner: free}}}
-	other := &node{capacity: 1}
+	free, full := &plannedServer{capacity: 1}, &plannedServer{capacity: 1, full: true}
+	p := &servicePlan{mean: 10, servers: []*plannedServer{free, full}, ranges: []plannedRange{{owner: full}, {owner: free}}}
+	other := &plannedServer{capacity: 1}
 	require.Same(t, other, p.neighbourOr(0, 1, other))
 	require.Same(t, free, p.neighbourOr(1, 1, other))
 	require.Same(t, free, p.leastUsed(100))
-	require.Same(t, free, p.coldest())
+	require.Same(t, free, p.leastUtilized())
 }
 
 // A full server keeps the keys that it has, also if every server is full.
--- a/assigner/merge.go
+++ b/assigner/merge.go
@@ -18,7 +18,7 @@
 // each range costs a renewal per interval. The server needs a new token for the
 // merged range, but keeps what it holds.
 func (p *servicePlan) join() {
-	if len(p.ranges) <= maxRangesPerServer*len(p.nodes) {
+	if len(p.ranges) <= maxRangesPerServer*len(p.servers) {
 		return
 	}
 	out := p.ranges[:1]
@@ -39,10 +39,10 @@
 // absorb assigns ranges with little load to the owner of the preceding range when
 // there are many ranges, so that join can merge them.
 func (p *servicePlan) absorb(now Time) {
-	if len(p.ranges) <= maxRangesPerServer*len(p.nodes) {
+	if len(p.ranges) <= maxRangesPerServer*len(p.servers) {
 		return
 	}
-	fair := p.weights.total / float64(len(p.nodes))
+	fair := p.weights.total / float64(len(p.servers))
 	for i, left := 1, maxAbsorbedPerPlan; i < len(p.ranges) && left > 0; i++ {
 		r := &p.ranges[i]
 		to := p.ranges[i-1].owner
@@ -59,7 +59,7 @@
 
 // grantedToOwner reports whether the range is granted to its planned owner. It also
 // holds for a range that this plan has just merged from such ranges.
-func (r *planned) grantedToOwner() bool {
+func (r *plannedRange) grantedToOwner() bool {
 	return r.state != nil && r.state.Granted && r.owner != nil && r.Owner == r.state.Owner
 }
 
--- a/assigner/orphans.go
+++ b/assigner/orphans.go
@@ -14,14 +14,14 @@
 // assignOrphans assigns every range without a usable owner to the servers with the
 // lowest utilization, and splits large ranges.
 func (p *servicePlan) assignOrphans() {
-	piece := p.weights.total / float64(len(p.nodes)*orphanPieces)
+	piece := p.weights.total / float64(len(p.servers)*orphanPieces)
 	unassigned := len(p.ranges) == 1 && p.ranges[0].Owner.ID == ""
 	if unassigned {
 		p.spreadEvenly()
 		return
 	}
-	var out []planned
-	var orphans []planned
+	var out []plannedRange
+	var orphans []plannedRange
 	for _, r := range p.ranges {
 		if r.owner != nil {
 			out = append(out, r)
@@ -44,18 +44,18 @@
 // to its capacity.
 func (p *servicePlan) spreadEvenly() {
 	sum := p.capacity()
-	var out []planned
+	var out []plannedRange
 	from, done := 0, 0.0
-	for i, n := range p.nodes {
+	for i, n := range p.servers {
 		done += n.capacity / sum
 		to := int(math.Round(done*float64(keyrange.KeyCount))) - 1
-		if i == len(p.nodes)-1 {
+		if i == len(p.servers)-1 {
 			to = int(keyrange.MaxKey)
 		}
 		if to < from {
 			continue
 		}
-		r := planned{Range: keyrange.Range{From: keyrange.Key(from), To: keyrange.Key(to)}}
+		r := plannedRange{Range: keyrange.Range{From: keyrange.Key(from), To: keyrange.Key(to)}}
 		r.load = p.weights.rangeLoad(r.From, r.To)
 		p.assign(&r, n, CauseFirst)
 		out = append(out, r)
@@ -66,8 +66,8 @@
 
 // splitByLoad splits r into parts of about limit load each, as far as the load of
 // single keys allows.
-func (p *servicePlan) splitByLoad(r planned, limit float64) []planned {
-	var out []planned
+func (p *servicePlan) splitByLoad(r plannedRange, limit float64) []plannedRange {
+	var out []plannedRange
 	for r.load > limit*wholeRangeTolerance && r.Width() > 1 && limit > 0 {
 		k := p.weights.keyAtLoad(r.From, r.To, limit)
 		if k >= r.To {
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -116,10 +116,10 @@
 	if len(ranges) == 0 && now-m.firstSeen[name] < m.cfg.FirstPlanDelay {
 		return nil
 	}
-	p := &servicePlan{service: name, byHolder: map[keyrange.Holder]*node{}}
+	p := &servicePlan{service: name, byHolder: map[keyrange.Holder]*plannedServer{}}
 	p.weights = newWeights(m.load.forService(name))
-	for _, n := range m.nodesOf(now, servers) {
-		p.nodes = append(p.nodes, n)
+	for _, n := range m.plannedServers(now, servers) {
+		p.servers = append(p.servers, n)
 		p.byHolder[n.holder] = n
 	}
 	if len(ranges) == 0 {
@@ -132,17 +132,17 @@
 	return p
 }
 
-// nodesOf returns the servers as they enter a plan, still without load. A server that
+// plannedServers returns the servers as they enter a plan, still without load. A server that
 // has just started counts with half its capacity.
-func (m *Machine) nodesOf(now Time, servers []directory.Server) []*node {
+func (m *Machine) plannedServers(now Time, servers []directory.Server) []*plannedServer {
 	ids := make([]string, 0, len(servers))
 	for _, v := range servers {
 		ids = append(ids, v.Holder.ID)
 	}
 	speeds := m.load.speeds(ids)
-	out := make([]*node, 0, len(servers))
+	out := make([]*plannedServer, 0, len(servers))
 	for _, v := range servers {
-		n := &node{
+		n := &plannedServer{
 			holder:   v.Holder,
 			capacity: float64(max(v.Slots, 1)) * speeds[v.Holder.ID],
 			full:     m.full.contains(now, v.Holder),
--- a/assigner/serviceplan.go
+++ b/assigner/serviceplan.go
@@ -7,34 +7,34 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
-// node is a backend server in a plan.
-type node struct {
+// plannedServer is a backend server in a plan.
+type plannedServer struct {
 	holder   keyrange.Holder
 	capacity float64 // relative throughput: slots × speed
 	load     float64
 	full     bool // gets no more keys, but keeps those that it has
 }
 
-func (n *node) utilization() float64 { return n.load / n.capacity }
+func (n *plannedServer) utilization() float64 { return n.load / n.capacity }
 
 // servicePlan is the plan of one service while it is being made.
 type servicePlan struct {
 	service    string
 	weights    *weights
-	nodes      []*node
-	byHolder   map[keyrange.Holder]*node
-	ranges     []planned
+	servers    []*plannedServer
+	byHolder   map[keyrange.Holder]*plannedServer
+	ranges     []plannedRange
 	mean       float64 // load per unit of capacity
 	changed    bool
 	reassigned []reassignment
 }
 
-// planned is a range in a plan.
-type planned struct {
+// plannedRange is a range in a plan.
+type plannedRange struct {
 	keyrange.Range
 	state *rangeState // nil when the range is new
 	load  float64
-	owner *node // nil when the owner cannot serve
+	owner *plannedServer // nil when the owner cannot serve
 }
 
 // reassignment is a range that was assigned to another server, identified by its
@@ -59,7 +59,7 @@
 
 // addRange adds a range with its load. s is nil when the range is new.
 func (p *servicePlan) addRange(r keyrange.Range, s *rangeState) {
-	item := planned{Range: r, state: s, load: p.weights.rangeLoad(r.From, r.To), owner: p.byHolder[r.Owner]}
+	item := plannedRange{Range: r, state: s, load: p.weights.rangeLoad(r.From, r.To), owner: p.byHolder[r.Owner]}
 	if s != nil {
 		item.Prior = slices.Clone(s.Prior)
 		if s.needsToken && item.owner != nil {
@@ -80,7 +80,7 @@
 
 // assign moves r to n. The previous owner is added to the holders from which the
 // range must be released.
-func (p *servicePlan) assign(r *planned, n *node, cause Cause) {
+func (p *servicePlan) assign(r *plannedRange, n *plannedServer, cause Cause) {
 	p.reassigned = append(p.reassigned, reassignment{from: r.From, before: r.Owner, cause: cause})
 	if r.owner != nil {
 		r.owner.load -= r.load
@@ -97,7 +97,7 @@
 }
 
 // split splits r after key k.
-func (p *servicePlan) split(r planned, k keyrange.Key) (head, tail planned) {
+func (p *servicePlan) split(r plannedRange, k keyrange.Key) (head, tail plannedRange) {
 	head, tail = r, r
 	head.To, tail.From = k, k+1
 	head.load = p.weights.rangeLoad(head.From, head.To)
@@ -107,9 +107,9 @@
 
 // leastUsed returns the server whose utilization would be lowest with load added. A
 // full one is chosen only if all are full, since every key needs an owner.
-func (p *servicePlan) leastUsed(load float64) *node {
-	best := p.nodes[0]
-	for _, n := range p.nodes[1:] {
+func (p *servicePlan) leastUsed(load float64) *plannedServer {
+	best := p.servers[0]
+	for _, n := range p.servers[1:] {
 		lower := (n.load+load)/n.capacity < (best.load+load)/best.capacity
 		if n.full == best.full && lower || best.full && !n.full {
 			best = n
@@ -162,7 +162,7 @@
 // capacity returns the total capacity of all servers.
 func (p *servicePlan) capacity() float64 {
 	sum := 0.0
-	for _, n := range p.nodes {
+	for _, n := range p.servers {
 		sum += n.capacity
 	}
 	return sum
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -105,7 +105,7 @@
 }
 
 // addDirectory adds the changes to the directory that the requesting host has from
-// this assigner, or the whole directory. A host that is not the leader sends its
+// this assigner, or the whole directory. A host that is not the assigner sends its
 // directory only to a host that has none.
 func addDirectory(a *hostlink.SyncResponse, v *directory.Snapshot, q *hostlink.SyncRequest) {
 	switch {
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -146,7 +146,7 @@
 	c.backends.Close()
 }
 
-// Resign gives up leadership before a planned stop, so that a successor can take over
+// Resign gives up the epoch before a planned stop, so that a successor can take over
 // without a gap.
 func (c *Cluster) Resign() {
 	c.post(func() {
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -12,7 +12,7 @@
 
 const (
 	// followPause is the first pause after a sync request that failed or was answered
-	// by a host that is not the leader.
+	// by a host that is not the assigner.
 	followPause = 100 * time.Millisecond
 	// maxFollowPause bounds that pause, which doubles on each retry.
 	maxFollowPause = 400 * time.Millisecond
@@ -104,7 +104,7 @@
 	return assigner.Host{Name: "seed", Peer: c.cfg.Seeds[n]}
 }
 
-// sendSync sends one sync request and reports whether the leader answered it.
+// sendSync sends one sync request and reports whether the assigner answered it.
 func (c *Cluster) sendSync(q outgoingSync) bool {
 	limit := syncTimeout + syncTimeoutPerHost*time.Duration(c.View().Hosts)
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -97,12 +97,12 @@
 // its assigner, and that a backend server was registered at the address. Errors are
 // of kind PermissionDenied.
 func (c *Cluster) verifyRelay(call *hostlink.RelayRequest) error {
-	epoch, leader := c.machine.Epoch(), c.machine.Assigner()
+	epoch, known := c.machine.Epoch(), c.machine.Assigner()
 	switch {
 	case call.Epoch < epoch:
 		return fault.Newf(fault.PermissionDenied, "epoch %d has ended", call.Epoch)
-	case call.Epoch == epoch && leader.Name != "" && leader != call.From:
-		return fault.Newf(fault.PermissionDenied, "the assigner of the epoch is %s", leader.Name)
+	case call.Epoch == epoch && known.Name != "" && known != call.From:
+		return fault.Newf(fault.PermissionDenied, "the assigner of the epoch is %s", known.Name)
 	case c.hosts[call.From.Name].Host != call.From:
 		return fault.New(fault.PermissionDenied, "the host is not registered")
 	case !call.Release && !c.serves(call.Range.Owner, call.Address):
--- a/profile/document.go
+++ b/profile/document.go
@@ -23,6 +23,7 @@
 	Source  string // YAML text as the operator wrote it
 }
 
+// Name returns the name of the profile or service.
 func (d Document) Name() string {
 	if d.Kind == ProfileDocument {
 		return d.Profile.Name
