--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// goWithTimeout runs f in a goroutine of its own with a time limit.
+// goWithTimeout runs f in a goroutine of its own with a timeout.
 func (c *Cluster) goWithTimeout(limit time.Duration, f func(context.Context)) {
 	c.goroutines.Add(1)
 	go func() {
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -53,7 +53,7 @@
 	return result, ""
 }
 
-// relayThrough asks one host to make a call within a time limit.
+// relayThrough asks one host to make a call within a timeout.
 func (c *Cluster) relayThrough(h assigner.Host, call hostlink.RelayRequest, limit time.Duration) (*hostlink.RelayResponse, error) {
 	call.LimitMS = max(limit.Milliseconds(), 1)
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -43,13 +43,6 @@
 	return v.Holder.StartedMS < w.Holder.StartedMS || v.Holder.StartedMS == w.Holder.StartedMS && v.Seq < w.Seq
 }
 
-// Change is one record about a server. Server is nil if the entry has been removed or
-// does not describe a usable server.
-type Change struct {
-	ID     string  `json:"id"`
-	Server *Server `json:"server,omitempty"`
-}
-
 // Snapshot is an immutable state of the directory at an offset.
 type Snapshot struct {
 	Next    uint64   `json:"next"` // offset of the first record that is not folded in
@@ -78,48 +71,6 @@
 	Change uint64 `json:"change"`
 }
 
-// maxRecent bounds the recent changes in a snapshot.
-const maxRecent = 400
-
-// numberedChange is a change with its number.
-type numberedChange struct {
-	number uint64
-	change Change
-}
-
-// Delta holds the changes between two versions of the directory.
-type Delta struct {
-	Base    Version  `json:"base"`
-	Next    uint64   `json:"next"`
-	Version Version  `json:"version"`
-	Changes []Change `json:"changes"`
-}
-
-// Since returns the changes since an earlier version, or nil if they are not known.
-func (s *Snapshot) Since(base Version) *Delta {
-	known := base.Epoch == s.Version.Epoch || base.Epoch == s.previous.Epoch && base.Epoch != 0 && base.Change <= s.previous.Change
-	if !known || base.Change < s.recentBase {
-		return nil
-	}
-	d := &Delta{Base: base, Next: s.Next, Version: s.Version}
-	for _, r := range s.recent {
-		if r.number > base.Change {
-			d.Changes = append(d.Changes, r.change)
-		}
-	}
-	return d
-}
-
-// Apply returns the snapshot after d, or nil if d has another base.
-func (s *Snapshot) Apply(d *Delta) *Snapshot {
-	if d.Base != s.Version {
-		return nil
-	}
-	out := s.Fold(d.Changes, max(d.Next, s.Next))
-	out.Version = d.Version
-	return out
-}
-
 // WithEpoch returns the snapshot with versions counted by the assigner of an epoch.
 // The count of an earlier assigner is continued, so that hosts with one of its
 // versions need only the changes. A count of a host's own is not continued, since its
@@ -173,24 +124,6 @@
 	return &out
 }
 
-// keepRemoved removes a server unless it is listed with a newer entry than its last.
-func (b *builder) keepRemoved(gone Server) {
-	if v, ok := b.servers[gone.Holder.ID]; ok {
-		if gone.olderThan(v) {
-			return
-		}
-		delete(b.servers, gone.Holder.ID)
-	}
-	b.removed[gone.Holder.ID] = gone
-}
-
-// keepNewer replaces a listed entry by a newer one of the same server.
-func (b *builder) keepNewer(v Server) {
-	if listed, ok := b.servers[v.Holder.ID]; ok && listed.olderThan(v) {
-		b.servers[v.Holder.ID] = v
-	}
-}
-
 // HasAddress reports whether a server is or recently was registered at an address.
 func (s *Snapshot) HasAddress(addr string) bool {
 	at := func(v Server) bool { return v.Address == addr }
@@ -214,15 +147,6 @@
 	return out
 }
 
-// addRecent appends to the recent changes and drops the oldest beyond maxRecent.
-func (s *Snapshot) addRecent(c numberedChange) {
-	s.recent = append(s.recent[:len(s.recent):len(s.recent)], c)
-	if extra := len(s.recent) - maxRecent; extra > 0 {
-		s.recentBase = s.recent[extra-1].number
-		s.recent = s.recent[extra:]
-	}
-}
-
 // Reload returns the snapshot with exactly the given servers. Entries older than those
 // in s are ignored.
 func (s *Snapshot) Reload(all []Change, next uint64) *Snapshot {
@@ -249,60 +173,3 @@
 	out.Next = next
 	return &out
 }
-
-// builder applies changes to a copy of a directory.
-type builder struct {
-	servers map[string]Server
-	removed map[string]Server
-}
-
-func newBuilder(s *Snapshot) *builder {
-	b := &builder{servers: make(map[string]Server, len(s.Servers)), removed: make(map[string]Server, len(s.removed))}
-	for _, v := range s.Servers {
-		b.servers[v.Holder.ID] = v
-	}
-	for _, v := range s.removed {
-		b.removed[v.Holder.ID] = v
-	}
-	return b
-}
-
-// apply applies c and reports whether it changed more than the remaining cold time.
-func (b *builder) apply(c Change) bool {
-	old, known := b.servers[c.ID]
-	if c.Server == nil {
-		if known {
-			b.removed[c.ID] = old
-		}
-		delete(b.servers, c.ID)
-		return known
-	}
-	v := *c.Server
-	if known && v.olderThan(old) {
-		return false
-	}
-	if gone, ok := b.removed[c.ID]; ok && !known && !gone.olderThan(v) {
-		return false
-	}
-	delete(b.removed, c.ID)
-	b.servers[c.ID] = v
-	old.Cold, v.Cold, old.Seq, v.Seq = 0, 0, 0, 0
-	return !known || old != v
-}
-
-// result returns the present and the removed servers, sorted by ID.
-func (b *builder) result() (servers, removed []Server) {
-	if len(b.removed) > maxRemoved {
-		clear(b.removed)
-	}
-	return sorted(b.servers), sorted(b.removed)
-}
-
-func sorted(servers map[string]Server) []Server {
-	out := make([]Server, 0, len(servers))
-	for _, v := range servers {
-		out = append(out, v)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Holder.ID < out[j].Holder.ID })
-	return out
-}
