--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"sort"
+	"time"
+
+	"github.com/lacewingsaddle/lacewingsaddle/event"
+)
 
 // budgetSlots is the number of slots that a budget's window is divided into.
 const budgetSlots = 20
@@ -77,3 +82,60 @@
 	b.lastReport = now
 	return true
 }
+
+// countRequest counts a request to a service.
+func (g *Gateway) countRequest(service string) {
+	g.mu.Lock()
+	g.budget(service).countRequest(time.Since(g.started))
+	g.mu.Unlock()
+}
+
+// budgetAllowsRetry takes a retry from the budget of a service and reports whether
+// it was allowed.
+func (g *Gateway) budgetAllowsRetry(service string) bool {
+	hosts := g.control.View().Hosts
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budget(service)
+	now := time.Since(g.started)
+	if b.takeRetry(now, hosts) {
+		return true
+	}
+	if b.shouldReport(now) {
+		s := b.state(hosts)
+		g.writeEvent(event.RetryBudgetExhausted{Service: service, Requests: s.requests, Tries: s.retries, Allowed: s.allowed, Hosts: hosts})
+	}
+	return false
+}
+
+// BudgetLeft is the number of retries left in a service's budget at this host.
+type BudgetLeft struct {
+	Service string
+	Left    int64
+}
+
+// Budgets returns what is left of each budget, sorted by service.
+func (g *Gateway) Budgets() []BudgetLeft {
+	hosts := g.control.View().Hosts
+	now := time.Since(g.started)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]BudgetLeft, 0, len(g.budgets))
+	for service, b := range g.budgets {
+		b.advance(now)
+		s := b.state(hosts)
+		out = append(out, BudgetLeft{Service: service, Left: int64(s.allowed) - int64(s.retries)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// budget returns the budget of a service. g.mu must be held.
+func (g *Gateway) budget(service string) *budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = newBudget(g.cfg.Budget)
+		g.budgets[service] = b
+	}
+	return b
+}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -24,6 +24,9 @@
 	// connectionShare is the share of a server's connections that hosts use for
 	// requests; the rest is reserved for grants and for hosts that start.
 	connectionShare = 0.85
+	// defaultConnections is a host's connections to one server if the configuration
+	// sets no limit.
+	defaultConnections = 64
 )
 
 // server is this host's state of one backend server.
@@ -55,6 +58,7 @@
 	return serverStats{s.outstanding, s.averageLatency, s.failures, now.Before(s.sheddingUntil)}
 }
 
+// requestStarted records that a request is about to be sent.
 func (s *server) requestStarted() {
 	s.mu.Lock()
 	s.outstanding++
@@ -82,6 +86,13 @@
 	s.mu.Unlock()
 }
 
+// idle reports whether no request is outstanding.
+func (s *server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outstanding == 0
+}
+
 // markShedding records that the server shed load.
 func (s *server) markShedding(until time.Time) {
 	s.mu.Lock()
@@ -109,8 +120,7 @@
 	defer s.mu.Unlock()
 	known := s.all[v.Holder]
 	if known == nil || known.Address != v.Address {
-		known = &server{Server: *v, conns: upstream.NewServer(v.Address, limit, s.dial, s.buffers), limiter: newLimiter(limit), admitter: newAdmitter(), averageLatency: initialLatency}
-		known.conns.SetGuard(s.guard(v.Holder))
+		known = s.newServer(v, limit)
 		s.all[v.Holder] = known
 	}
 	known.conns.SetLimit(limit + spareConnections)
@@ -118,6 +128,19 @@
 	return known
 }
 
+// newServer returns the state of a server to which no request was sent yet.
+func (s *servers) newServer(v *directory.Server, limit int) *server {
+	out := &server{
+		Server:         *v,
+		conns:          upstream.NewServer(v.Address, limit, s.dial, s.buffers),
+		limiter:        newLimiter(limit),
+		admitter:       newAdmitter(),
+		averageLatency: initialLatency,
+	}
+	out.conns.SetGuard(s.guard(v.Holder))
+	return out
+}
+
 // find returns the state of a server, or nil if no request was sent to it.
 func (s *servers) find(h keyrange.Holder) *server {
 	s.mu.Lock()
@@ -135,14 +158,12 @@
 		if !s.guard(h).KeepsIdle() {
 			v.conns.Close()
 		}
-		if l := listed.Find(h.ID); l == nil || l.Holder != h {
-			v.conns.Close()
-			v.mu.Lock()
-			idle := v.outstanding == 0
-			v.mu.Unlock()
-			if idle {
-				delete(s.all, h)
-			}
+		if l := listed.Find(h.ID); l != nil && l.Holder == h {
+			continue
+		}
+		v.conns.Close()
+		if v.idle() {
+			delete(s.all, h)
 		}
 	}
 }
@@ -159,7 +180,7 @@
 // connectionLimit is this host's share of a server's connections.
 func connectionLimit(maxConns, hosts int) int {
 	if maxConns <= 0 {
-		return 64
+		return defaultConnections
 	}
 	return max(int(connectionShare*float64(maxConns))/max(hosts, 1), minConnections)
 }
