entry, edge: one way to identify a run of the process

Both drew six random bytes and wrote them in hexadecimal digits: that stands once, in internal/incarnation. crypto/rand fails no longer (Go 1.24), so edge.New and newMember have no error to return. No change of behaviour.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -22,10 +20,11 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/gateway"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/incarnation"
+	"github.com/lacewingsaddle/lacewingsaddle/routetable"
 )
 
 const (
-	incarnationBytes = 6
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// maxConfigWait is how long callers' connections wait for the first
@@ -64,21 +63,24 @@
 }
 
 // New returns a host that is not started.
-func New(opts Options, store cluster.Store, backends cluster.Backends, logger *zap.Logger) (*Host, error) {
-	b := make([]byte, incarnationBytes)
-	if _, err := rand.Read(b); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "generate the host's incarnation")
-	}
-	self := assigner.Host{Name: opts.Host, Incarnation: hex.EncodeToString(b), Peer: opts.Peer}
+func New(opts Options, store cluster.Store, backends cluster.Backends, logger *zap.Logger) *Host {
+	self := assigner.Host{Name: opts.Host, Incarnation: incarnation.NewID(), Peer: opts.Peer}
 	logger = logger.With(zap.String("host", opts.Host))
-	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds, Small: opts.belowAssignerMinimum()}, store, backends, hostlink.NewPool(), logger)
+	c := cluster.New(opts.clusterConfig(self), store, backends, hostlink.NewPool(), logger)
 	g := gateway.New(opts.Gateway, c, logger)
-	h := &Host{opts: opts, logger: logger.Named("edge"), incarnation: self.Incarnation, cluster: c, gateway: g, stopping: make(chan struct{})}
+	h := &Host{
+		opts:        opts,
+		logger:      logger.Named("edge"),
+		incarnation: self.Incarnation,
+		cluster:     c,
+		gateway:     g,
+		stopping:    make(chan struct{}),
+	}
 	h.callers = newCallerServer(g, g, h.logEvent)
 	h.callers.server.HTTP.ErrorLog = zap.NewStdLog(logger.Named("http"))
 	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	h.metrics = &http.Server{Handler: http.HandlerFunc(h.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}
-	return h, nil
+	return h
 }
 
 // Start joins the cluster and opens the listeners.
@@ -115,6 +117,7 @@
 	return nil
 }
 
+// listen opens a TCP listener.
 func listen(addr string) (net.Listener, error) {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -123,6 +126,7 @@
 	return lis, nil
 }
 
+// serve opens the listener of a server and serves on it until the server is closed.
 func (h *Host) serve(s *http.Server, addr string) error {
 	lis, err := listen(addr)
 	if err != nil {
@@ -153,29 +157,40 @@
 // or with the defaults after maxConfigWait or when the host stops: requests in the
 // listener's backlog are answered then, too.
 func (h *Host) serveTraffic(ctx context.Context, lis net.Listener) {
-	limit := time.NewTimer(maxConfigWait)
-	defer limit.Stop()
 	server := h.callers.server
 	server.HTTP.ReadHeaderTimeout, server.HTTP.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
-	for waiting := true; waiting; {
+	routes, err := h.awaitRoutes(ctx)
+	if err != nil {
+		return // the host has stopped
+	}
+	if routes != nil {
+		server.HTTP.ReadHeaderTimeout = routes.Limits.HeaderTimeout
+		server.HTTP.IdleTimeout = routes.Limits.IdleTimeout
+		server.HTTP.MaxHeaderBytes = routes.Limits.HeaderBytes
+	}
+	h.runServer("serve callers", func() error { return server.Serve(lis) })
+}
+
+// awaitRoutes returns the first configuration, or nil if none is known after
+// maxConfigWait or when the host stops. If ctx ends first, it returns the error of ctx.
+func (h *Host) awaitRoutes(ctx context.Context) (*routetable.Table, error) {
+	limit := time.NewTimer(maxConfigWait)
+	defer limit.Stop()
+	for {
 		v := h.cluster.View()
 		if v.Routes != nil {
-			server.HTTP.ReadHeaderTimeout = v.Routes.Limits.HeaderTimeout
-			server.HTTP.IdleTimeout = v.Routes.Limits.IdleTimeout
-			server.HTTP.MaxHeaderBytes = v.Routes.Limits.HeaderBytes
-			break
+			return v.Routes, nil
 		}
 		select {
 		case <-v.Next:
 		case <-limit.C:
-			waiting = false
+			return nil, nil
 		case <-h.stopping:
-			waiting = false
+			return nil, nil
 		case <-ctx.Done():
-			return
+			return nil, ctx.Err()
 		}
 	}
-	h.runServer("serve callers", func() error { return server.Serve(lis) })
 }
 
 // Reload applies the options that may change while the host runs: the seeds, which
--- a/edge/options.go
+++ b/edge/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/lacewingsaddle/lacewingsaddle/assigner"
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/gateway"
 )
 
@@ -36,3 +38,13 @@
 func (o Options) belowAssignerMinimum() bool {
 	return o.CPU > 0 && o.CPU < minAssignerCPU || o.LinkMbps > 0 && o.LinkMbps < minAssignerLinkMbps
 }
+
+// clusterConfig returns the settings of the host's control state.
+func (o Options) clusterConfig(self assigner.Host) cluster.Config {
+	return cluster.Config{
+		Self:    self,
+		HoldMax: o.HoldMax,
+		Small:   o.belowAssignerMinimum(),
+		Seeds:   o.Seeds,
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -19,8 +17,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/backend"
 	"github.com/lacewingsaddle/lacewingsaddle/claim"
 	"github.com/lacewingsaddle/lacewingsaddle/control"
-	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/httpdrain"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/incarnation"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
@@ -31,10 +29,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/tlsconfig"
 )
 
-const (
-	incarnationBytes  = 6
-	readHeaderTimeout = 5 * time.Second
-)
+// readHeaderTimeout applies to requests of operators.
+const readHeaderTimeout = 5 * time.Second
 
 // Ports are an entry host's connections to the network. Programs that embed a
 // host, and tests, may provide their own.
@@ -103,10 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self, err := newMember(h)
-	if err != nil {
-		return nil, err
-	}
+	self := newMember(h)
 	logger = logger.With(zap.String("host", h.Name))
 	host := &Host{
 		Settings:      h,
@@ -129,17 +122,13 @@
 }
 
 // newMember returns the member that this run of the host's process joins as.
-func newMember(h settings.Host) (ownership.Member, error) {
-	incarnation, err := newIncarnation()
-	if err != nil {
-		return ownership.Member{}, err
-	}
+func newMember(h settings.Host) ownership.Member {
 	return ownership.Member{
-		ID:       ownership.MemberID(h.Name + "/" + incarnation),
+		ID:       ownership.MemberID(h.Name + "/" + incarnation.NewID()),
 		Host:     h.Name,
 		Domain:   h.Domain,
 		PeerAddr: h.Peer,
-	}, nil
+	}
 }
 
 // controlConfig returns the configuration of the control loop.
@@ -213,15 +202,6 @@
 	return source, nil
 }
 
-// newIncarnation returns a random ID for one run of the process.
-func newIncarnation() (string, error) {
-	b := make([]byte, incarnationBytes)
-	if _, err := rand.Read(b); err != nil {
-		return "", fault.Wrap(fault.Internal, err, "generate an incarnation ID")
-	}
-	return hex.EncodeToString(b), nil
-}
-
 func register(lc fx.Lifecycle, h *Host) {
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
 }
