fault: the form of an error answer stands once

The media type and the URI of a kind stood in routing and in client, and have to agree: both take them from fault now. No change of behaviour.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -97,7 +97,7 @@
 			}
 			var p client.Problem
 			require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p), tc.name)
-			require.Equal(t, client.ProblemType, w.Header().Get("Content-Type"), tc.name)
+			require.Equal(t, fault.ProblemType, w.Header().Get("Content-Type"), tc.name)
 			require.Equal(t, tc.status, p.Status, tc.name)
 			require.NotContains(t, w.Body.String(), fleet.ReadToken, tc.name)
 			require.NotContains(t, w.Body.String(), fleet.WriteToken, tc.name)
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -54,7 +54,7 @@
 	p := client.ProblemOf(err)
 	p.Status = status
 	body, _ := json.Marshal(p)
-	c.Data(status, client.ProblemType, body)
+	c.Data(status, fault.ProblemType, body)
 	c.Abort()
 }
 
--- a/client/client.go
+++ b/client/client.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return out, fault.Wrap(noAnswerKind, err, "the answer ended early")
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), ProblemType) || resp.StatusCode >= http.StatusMultipleChoices {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), fault.ProblemType) || resp.StatusCode >= http.StatusMultipleChoices {
 		p := Problem{Status: resp.StatusCode}
 		_ = json.Unmarshal(body, &p)
 		return out, p.Err()
--- a/client/problem.go
+++ b/client/problem.go
@@ -7,11 +7,6 @@
 	"github.com/lacewingsaddle/lacewingsaddle/yamldoc"
 )
 
-// ProblemType is the media type of a Problem.
-const ProblemType = "application/problem+json"
-
-const problemTypePrefix = "urn:lacewingsaddle:error:"
-
 // Problem is the body of an error answer, in the form of RFC 9457.
 type Problem struct {
 	Type      string               `json:"type"`
@@ -29,8 +24,13 @@
 	kind := fault.KindOf(err)
 	a := fault.AnswerOf(kind)
 	p := Problem{
-		Type: problemTypePrefix + string(kind), Title: a.Title, Status: a.Status,
-		Detail: detailOf(err), Kind: kind, Outcome: a.Outcome, Retryable: a.Retryable,
+		Type:      kind.ProblemURI(),
+		Title:     a.Title,
+		Status:    a.Status,
+		Detail:    detailOf(err),
+		Kind:      kind,
+		Outcome:   a.Outcome,
+		Retryable: a.Retryable,
 	}
 	var fields yamldoc.FieldErrors
 	if errors.As(err, &fields) {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -70,6 +70,12 @@
 	Internal         Kind = "internal"
 )
 
+// ProblemType is the media type of an error answer in the form of RFC 9457.
+const ProblemType = "application/problem+json"
+
+// ProblemURI returns the URI that names the kind in an error answer, as its type.
+func (k Kind) ProblemURI() string { return "urn:lacewingsaddle:error:" + string(k) }
+
 // Answer describes the response to a caller for one error kind.
 type Answer struct {
 	Status    int     // HTTP status code
--- a/routing/problem.go
+++ b/routing/problem.go
@@ -23,8 +23,6 @@
 	RequestID string        `json:"request_id,omitempty"`
 }
 
-const problemTypePrefix = "urn:lacewingsaddle:error:"
-
 // WriteProblem writes err to w as a problem body.
 func WriteProblem(w http.ResponseWriter, requestID string, err error) {
 	var e *fault.Error
@@ -33,7 +31,7 @@
 	}
 	a := e.Answer()
 	body, _ := json.Marshal(Problem{
-		Type:      problemTypePrefix + string(e.Kind),
+		Type:      e.Kind.ProblemURI(),
 		Title:     a.Title,
 		Status:    a.Status,
 		Detail:    e.Detail,
@@ -43,7 +41,7 @@
 		RequestID: requestID,
 	})
 	h := w.Header()
-	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Type", fault.ProblemType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(HeaderOutcome, string(a.Outcome))
 	h.Set(headerKind, string(e.Kind))
