--- a/cluster/troubles_test.go
+++ b/cluster/troubles_test.go
@@ -104,6 +104,16 @@
 	f()
 }
 
+// endAndReplace ends a server that has been leaving for a while. A new process starts under
+// its id.
+func (w *world) endAndReplace(s *fakeServer) {
+	w.watch(2 * time.Second)
+	w.changeServer(s, func() { s.up = false })
+	w.unlist(s)
+	w.watch(time.Second)
+	w.addServer(s.holder.ID)
+}
+
 // replaceHosts starts hosts until there are scenarioHosts of them.
 func (w *world) replaceHosts() {
 	for i := len(w.names()); i < scenarioHosts; i++ {
@@ -235,20 +245,12 @@
 		{"server leaves", func(w *world, r *rand.Rand) {
 			s := w.anyServer(r)
 			w.list(s, directory.Draining)
-			w.watch(2 * time.Second)
-			w.changeServer(s, func() { s.up = false })
-			w.unlist(s)
-			w.watch(time.Second)
-			w.addServer(s.holder.ID)
+			w.endAndReplace(s)
 		}, (*world).relist, time.Second, false},
 		{"server leaves while its entry reads ready", func(w *world, r *rand.Rand) {
 			s := w.anyServer(r)
 			w.tellRunningHosts(func(c *Cluster) { c.AddLeaving(s.holder) })
-			w.watch(2 * time.Second)
-			w.changeServer(s, func() { s.up = false })
-			w.unlist(s)
-			w.watch(time.Second)
-			w.addServer(s.holder.ID)
+			w.endAndReplace(s)
 		}, (*world).relist, time.Second, false},
 		{"server full for every host", func(w *world, r *rand.Rand) {
 			s := w.anyServer(r)
--- a/edge/callers_test.go
+++ b/edge/callers_test.go
@@ -102,6 +102,16 @@
 	return c
 }
 
+// sendInBackground sends a request on a connection of its own. The channel gets the status
+// of its response, 0 if there is none.
+func (s *stoppingServer) sendInBackground(t *testing.T) <-chan int {
+	conn := s.dial(t)
+	t.Cleanup(func() { _ = conn.Close() }) // the server may have closed it, too
+	got := make(chan int, 1)
+	go func() { got <- send(conn) }()
+	return got
+}
+
 // status reads a whole response and returns its status, 0 if there is none.
 func status(c net.Conn) int {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -252,10 +262,7 @@
 func TestRequestInFlightAtTheEndOfAStopIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStoppingServer(time.Minute)
-		conn := s.dial(t)
-		defer conn.Close()
-		got := make(chan int, 1)
-		go func() { got <- send(conn) }()
+		got := s.sendInBackground(t)
 		time.Sleep(time.Millisecond)
 		begin := time.Now()
 		s.callers.stop(begin, planStop(6*time.Second))
@@ -299,10 +306,7 @@
 func TestLateStopAnswersTheRequestsItGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStoppingServer(time.Minute)
-		conn := s.dial(t)
-		defer conn.Close()
-		got := make(chan int, 1)
-		go func() { got <- send(conn) }()
+		got := s.sendInBackground(t)
 		synctest.Wait()
 		plan := planStop(6 * time.Second)
 		late := time.Now()
