--- a/entry/admin.go
+++ b/entry/admin.go
@@ -3,15 +3,11 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
-	"crypto/tls"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"strings"
 
-	metrics "github.com/rcrowley/go-metrics"
-
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/routing"
 	"github.com/lacewingsaddle/lacewingsaddle/settings"
@@ -72,17 +68,6 @@
 	writeJSON(w, status, r)
 }
 
-// serveMetrics writes the registry as JSON, or as text with ?format=text.
-func (h *Host) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("format") == "text" {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		metrics.WriteOnce(h.Metrics, w)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(h.Metrics, w)
-}
-
 // requireToken admits only requests that carry a read or a write token. If the
 // settings name no token, it admits every request.
 func requireToken(tokens settings.Tokens, next http.Handler) http.Handler {
@@ -115,64 +100,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-// registerMetrics registers gauges of the control state and of the callers'
-// requests.
-func (h *Host) registerMetrics() {
-	gauges := map[string]func() int64{
-		"control.lease_left_us": func() int64 {
-			left := h.Control.Snapshot().View.LeaseUntil - h.Control.Now()
-			return max(0, left.Microseconds())
-		},
-		"control.ready":            func() int64 { return boolToInt64(h.Readiness().Ready) },
-		"control.members":          func() int64 { return int64(len(h.Control.Snapshot().View.Members)) },
-		"control.records_applied":  func() int64 { return int64(h.Control.Snapshot().View.Applied) },
-		"control.records_in_force": func() int64 { return int64(h.Control.Snapshot().View.Active) },
-		"control.profiles_applied": func() int64 { return int64(h.Control.Snapshot().Catalog.Applied) },
-		"control.profiles_void":    func() int64 { return int64(h.Control.Snapshot().Catalog.Void) },
-		"control.profiles_bad":     func() int64 { return int64(h.Control.Snapshot().Catalog.Bad) },
-		"entry.requests_in_flight": h.inFlight.Load,
-		"entry.requests":           h.requests.Load,
-	}
-	for name, read := range gauges {
-		_ = h.Metrics.Register(name, metrics.NewFunctionalGauge(read))
-	}
-}
-
-func boolToInt64(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// listenAdmin opens the admin listener, with mutual TLS if the settings enable it.
-func (h *Host) listenAdmin() (net.Listener, error) {
-	l, err := h.listen(h.Settings.Admin, "operators")
-	if err != nil || h.tlsSource == nil || !h.Settings.TLS.Admin {
-		return l, err
-	}
-	return tls.NewListener(l, h.tlsSource.AdminServerConfig()), nil
-}
-
-// listenPeers opens the listener for peers, with mutual TLS if the settings enable it.
-func (h *Host) listenPeers() (net.Listener, error) {
-	l, err := h.listen(h.Settings.Peer, "peers")
-	if err != nil || h.tlsSource == nil {
-		return l, err
-	}
-	return tls.NewListener(l, h.tlsSource.PeerServerConfig()), nil
-}
-
-// listen opens one of the host's listeners. The error names its clients.
-func (h *Host) listen(addr, clients string) (net.Listener, error) {
-	open := h.listenFunc
-	if open == nil {
-		open = net.Listen
-	}
-	l, err := open("tcp", addr)
-	if err != nil {
-		return nil, fault.Wrap(fault.BadSettings, err, "listen for "+clients)
-	}
-	return l, nil
-}
--- a/routing/answer.go
+++ b/routing/answer.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -13,17 +11,10 @@
 )
 
 const (
-	copyBufferBytes    = 32 << 10
-	answerWriteTimeout = 30 * time.Second // to write one part of an answer to a slow caller
-)
-
-// Values of HeaderNotRun: why a backend server did not run a request.
-const (
-	reasonStaleToken = "stale-token"
-	reasonNoGrant    = "no-grant"
-	reasonOverloaded = "overloaded"
-	reasonDraining   = "draining"
-	reasonStarting   = "starting"
+	// copyBufferBytes is the size of the parts in which a long answer is written.
+	copyBufferBytes = 32 << 10
+	// answerWriteTimeout bounds the write of one part to a slow caller.
+	answerWriteTimeout = 30 * time.Second
 )
 
 // reply is an answer to be written to the caller. Either body is the complete
@@ -41,6 +32,7 @@
 // buffered reports whether body holds the complete answer.
 func (a *reply) buffered() bool { return a.rest == nil }
 
+// finish ends the exchange.
 func (a *reply) finish() {
 	if a.done != nil {
 		a.done()
@@ -68,104 +60,6 @@
 	return nil
 }
 
-// notRunError returns the error for an answer that gives a reason for not
-// running the request. It returns nil when the status is none that a server may
-// use for that.
-func notRunError(resp *http.Response, reason string) error {
-	var e *fault.Error
-	switch resp.StatusCode {
-	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-	default:
-		return nil
-	}
-	switch reason {
-	case reasonStaleToken, reasonNoGrant:
-		e = fault.New(fault.StaleToken, reason)
-	case reasonOverloaded:
-		e = fault.New(fault.Overloaded, "the server shed the request")
-	default:
-		e = fault.New(fault.NotAccepted, reason)
-	}
-	e.RetryAfter = retryAfter(resp.Header)
-	return e
-}
-
-// readAnswer buffers an answer up to the profile's limit; a longer one is
-// streamed. It changes resp.Header in place: the reply takes it over.
-func (q *request) readAnswer(ctx context.Context, resp *http.Response) (*reply, error) {
-	a := &reply{
-		status:  resp.StatusCode,
-		header:  removeHopByHop(resp.Header),
-		outcome: fault.Answered,
-		length:  resp.ContentLength,
-	}
-	limit := q.target.profile.Limits.AnswerBytes
-	size := limit
-	if resp.ContentLength >= 0 && resp.ContentLength < int64(limit) {
-		size = int(resp.ContentLength)
-	}
-	if resp.Body == http.NoBody || q.in.Method == http.MethodHead {
-		return a, nil
-	}
-	var err error
-	a.body, err = readUpTo(resp.Body, size, resp.ContentLength >= 0)
-	if errors.Is(err, errOverLimit) {
-		a.rest = resp.Body
-		return a, nil
-	}
-	if err != nil {
-		return nil, readError(ctx, err)
-	}
-	a.length = int64(len(a.body))
-	return a, nil
-}
-
-// errOverLimit means that a body is longer than the limit.
-var errOverLimit = errors.New("the body is longer than the limit")
-
-// readUpTo reads a body of at most limit bytes to its end. It returns
-// errOverLimit together with the bytes read when the body is longer. known means
-// that the body declares a length: limit is that length or, when the length is
-// larger, the maximum to buffer. The buffer then starts at its full size.
-func readUpTo(body io.Reader, limit int, known bool) ([]byte, error) {
-	buf := make([]byte, 0, initialCapacity(limit, known))
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err == io.EOF {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-		if len(buf) > limit {
-			return buf, errOverLimit
-		}
-	}
-}
-
-const unknownSizeCapacity = 4 << 10
-
-func initialCapacity(limit int, known bool) int {
-	if known {
-		return limit + 1
-	}
-	return min(limit, unknownSizeCapacity) + 1
-}
-
-func readError(ctx context.Context, err error) *fault.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fault.Wrap(fault.Timeout, err, "the answer was not complete before the deadline")
-	}
-	if ctx.Err() != nil {
-		return fault.Wrap(fault.Canceled, err, "the caller canceled the request")
-	}
-	return fault.Wrap(fault.AnswerCut, err, "the answer ended early")
-}
-
 // write sends the reply to the caller. When an answer ends early while it is
 // streamed, the caller's connection is aborted, so that a truncated answer never
 // looks complete.
@@ -227,6 +121,7 @@
 	}
 }
 
+// bodyAllowed reports whether an answer with a status may have a body.
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -73,8 +73,7 @@
 	return nil
 }
 
-// timeout returns the time limit of the request: the rule's timeout, or the
-// caller's when that is shorter.
+// timeout returns the rule's timeout, or the caller's when that is shorter.
 func (q *request) timeout() time.Duration {
 	if d, ok := callerTimeout(q.in.Header); ok {
 		return min(d, q.rule.Timeout)
--- a/routing/router.go
+++ b/routing/router.go
@@ -63,6 +63,7 @@
 	build   sync.Mutex
 }
 
+// idPrefixBytes is the size of the random part of request ids.
 const idPrefixBytes = 12
 
 // New returns a router.
@@ -84,6 +85,7 @@
 	r.handle(w, in, false)
 }
 
+// handle answers a request. forwarded tells that another entry host sent it.
 func (r *Router) handle(w http.ResponseWriter, in *http.Request, forwarded bool) {
 	q := &request{id: r.newID(), in: in, forwarded: forwarded}
 	err := r.serve(w, q)
@@ -93,10 +95,12 @@
 	}
 }
 
+// newID returns a request id that no other request has.
 func (r *Router) newID() string {
 	return r.prefix + strconv.FormatUint(r.ids.Add(1), 36)
 }
 
+// serve writes the answer to a request, or returns the error of a request without one.
 func (r *Router) serve(w http.ResponseWriter, q *request) error {
 	snap := r.deps.Source.Snapshot()
 	if err := q.match(r.matcherOf(snap.Catalog)); err != nil {
