--- a/requestlog/subject.go
+++ b/requestlog/subject.go
@@ -66,6 +66,9 @@
 // concerns reports whether a line is context of the request: whether it is about a
 // host that handled the request, a server that it was sent to, or its key.
 func (s *subject) concerns(l event.Line) bool {
+	if id, ok := serverOf(l.Event); ok {
+		return s.servers[id]
+	}
 	switch e := l.Event.(type) {
 	case event.RangeMoved:
 		return e.Service == s.service && s.keyIn(e.From, e.To)
@@ -73,30 +76,12 @@
 		return s.keyIn(e.From, e.To)
 	case event.GrantFailed:
 		return s.keyIn(e.From, e.To)
-	case event.ServerFound:
-		return s.servers[e.ID]
-	case event.ServerRestarted:
-		return s.servers[e.ID]
-	case event.ServerChanged:
-		return s.servers[e.ID]
-	case event.ServerGone:
-		return s.servers[e.ID]
-	case event.ServerLeaving:
-		return s.servers[e.Server]
-	case event.ServerLeavingEnded:
-		return s.servers[e.Server]
-	case event.ServerFull:
-		return s.servers[e.Server]
-	case event.ServerFullEnded:
-		return s.servers[e.Server]
 	case event.StandingBegun:
 		return s.hosts[l.Host] && s.servers[e.Server]
 	case event.StandingEnded:
 		return s.hosts[l.Host] && s.servers[e.Server]
 	case event.HeaderUnreadable:
 		return s.hosts[l.Host] && s.servers[e.Server]
-	case event.SuspectProbed:
-		return s.servers[e.Server]
 	case event.ServersSuspected:
 		return s.anyServer(e.Servers)
 	case event.RoleChanged:
@@ -111,6 +96,32 @@
 	return s.hosts[l.Host]
 }
 
+// serverOf returns the id of the server that an event is about, whichever host wrote it.
+// ok is false for other events.
+func serverOf(e event.Event) (id string, ok bool) {
+	switch e := e.(type) {
+	case event.ServerFound:
+		return e.ID, true
+	case event.ServerRestarted:
+		return e.ID, true
+	case event.ServerChanged:
+		return e.ID, true
+	case event.ServerGone:
+		return e.ID, true
+	case event.ServerLeaving:
+		return e.Server, true
+	case event.ServerLeavingEnded:
+		return e.Server, true
+	case event.ServerFull:
+		return e.Server, true
+	case event.ServerFullEnded:
+		return e.Server, true
+	case event.SuspectProbed:
+		return e.Server, true
+	}
+	return "", false
+}
+
 func (s *subject) anyServer(ids []string) bool {
 	for _, id := range ids {
 		if s.servers[id] {
