--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -63,15 +63,25 @@
 		return outgoingSync{}
 	}
 	report.Leaving = c.untoldLeaving()
-	q := outgoingSync{to: c.machine.Assigner()}
-	if q.to.Name == c.cfg.Self.Name {
-		q.to = assigner.Host{}
+	return outgoingSync{to: c.syncTarget(now), body: c.syncRequest(report)}
+}
+
+// syncTarget returns the host to send the next sync request to.
+func (c *Cluster) syncTarget(now time.Duration) assigner.Host {
+	to := c.machine.Assigner()
+	if to.Name == c.cfg.Self.Name {
+		to = assigner.Host{}
 	}
 	if c.machine.Silence(now) > seedsAfterSilence {
-		q.to = c.nextSeed(q.to)
+		return c.nextSeed(to)
 	}
+	return to
+}
+
+// syncRequest returns a request for what is newer than the state of this host.
+func (c *Cluster) syncRequest(report assigner.Report) hostlink.SyncRequest {
 	v := c.View()
-	q.body = hostlink.SyncRequest{
+	q := hostlink.SyncRequest{
 		From:       c.cfg.Self,
 		Epoch:      c.machine.Epoch(),
 		Servers:    v.Servers.Version,
@@ -83,13 +93,13 @@
 		Compressed: true,
 	}
 	if v.Owners != nil {
-		q.body.Map = v.Owners.Version
+		q.Map = v.Owners.Version
 	}
 	if v.Admission != nil {
-		q.body.Admission = v.Admission.Version
+		q.Admission = v.Admission.Version
 	}
 	if v.Routes != nil {
-		q.body.Config = v.Routes.Version
+		q.Config = v.Routes.Version
 	}
 	return q
 }
@@ -123,15 +133,7 @@
 
 // applyResponse applies what another host has that is newer.
 func (c *Cluster) applyResponse(a *hostlink.SyncResponse) {
-	now := c.cfg.Clock()
-	if a.Leads {
-		c.machine.HeardAssigner(now, a.Epoch)
-		c.recordAssignerHeard(now, a)
-	}
-	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
-	if a.Abandoned {
-		c.machine.EpochAbandoned(now, a.Epoch)
-	}
+	c.learnAssigner(c.cfg.Clock(), a)
 	c.applyDirectory(a)
 	if a.Leaving != nil {
 		c.applyLeaving(a)
@@ -142,13 +144,7 @@
 	if a.Config != nil {
 		c.applyConfig(a.Config)
 	}
-	if a.Map != nil {
-		if m := a.Map.Unpack(); m != nil {
-			c.applyMap(m)
-		} else {
-			c.logEvent(event.MapInvalid{Epoch: a.Epoch})
-		}
-	}
+	c.applyPackedMap(a)
 	if a.Admission != nil && a.Leads {
 		c.applyAdmission(a.Admission)
 	}
@@ -158,6 +154,31 @@
 	}
 }
 
+// learnAssigner tells the machine what a response says of the assigner.
+func (c *Cluster) learnAssigner(now time.Duration, a *hostlink.SyncResponse) {
+	if a.Leads {
+		c.machine.HeardAssigner(now, a.Epoch)
+		c.recordAssignerHeard(now, a)
+	}
+	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
+	if a.Abandoned {
+		c.machine.EpochAbandoned(now, a.Epoch)
+	}
+}
+
+// applyPackedMap applies the map of a response, if it has one.
+func (c *Cluster) applyPackedMap(a *hostlink.SyncResponse) {
+	if a.Map == nil {
+		return
+	}
+	m := a.Map.Unpack()
+	if m == nil {
+		c.logEvent(event.MapInvalid{Epoch: a.Epoch})
+		return
+	}
+	c.applyMap(m)
+}
+
 // recordAssignerSilent logs that the assigner did not answer, once per period of
 // silence.
 func (c *Cluster) recordAssignerSilent(q outgoingSync, err error) {
