--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -137,7 +137,8 @@
 	return m.load.address(h)
 }
 
-// StepGranted processes the result of a Grant.
+// StepGranted processes the result of a Grant. The range may have been split while the
+// call was in flight.
 func (m *Machine) StepGranted(now Time, e Granted) {
 	for _, r := range m.ranges {
 		if !r.SameGrant(e.Range) || r.service != e.Service {
@@ -146,38 +147,49 @@
 		if r.From < e.Range.From || r.To > e.Range.To {
 			continue
 		}
-		r.grantOutstanding = false
-		if !e.Result.Sent() {
-			r.heldUntil = r.heldBefore
-		}
-		switch e.Result {
-		case CallOK:
-			// The hold begins when the call arrives, which is before its answer.
-			r.heldUntil = max(r.heldBefore, now+m.holdEnd(r.sentHold))
-			if r.unproven {
-				r.heldUntil = now + m.holdEnd(r.sentHold)
-				r.unproven = false
-			}
-			m.suspects.answered(r.Owner)
-			if !r.Granted {
-				r.Granted = true
-				m.dirty = true
-			}
-		case CallRefused:
-			r.nextGrant = now + callRetryDelay
-			m.recordRefusal(now, m.cfg.Self.Name, r.Owner)
-			m.recordUnanswered(now, r.Owner)
-		case CallFenced:
-			if r.From == e.Range.From && r.To == e.Range.To {
-				m.requireHigherToken(now, r)
-			} // else the range was split while the call was in flight
-		default:
-			r.nextGrant = now + callRetryDelay
-			m.recordUnanswered(now, r.Owner)
-		}
+		m.applyGranted(now, r, e)
+	}
+}
+
+// applyGranted applies the result of a grant to a range that it was for.
+func (m *Machine) applyGranted(now Time, r *rangeState, e Granted) {
+	r.grantOutstanding = false
+	if !e.Result.Sent() {
+		r.heldUntil = r.heldBefore
+	}
+	switch e.Result {
+	case CallOK:
+		m.recordGrant(now, r)
+	case CallRefused:
+		r.nextGrant = now + callRetryDelay
+		m.recordRefusal(now, m.cfg.Self.Name, r.Owner)
+		m.recordUnanswered(now, r.Owner)
+	case CallFenced:
+		if r.From == e.Range.From && r.To == e.Range.To {
+			m.requireHigherToken(now, r)
+		} // else the range was split while the call was in flight
+	default:
+		r.nextGrant = now + callRetryDelay
+		m.recordUnanswered(now, r.Owner)
+	}
+}
+
+// recordGrant records that a range's owner has accepted its grant. The hold begins when
+// the call arrives, which is before its answer.
+func (m *Machine) recordGrant(now Time, r *rangeState) {
+	r.heldUntil = max(r.heldBefore, now+m.holdEnd(r.sentHold))
+	if r.unproven {
+		r.heldUntil = now + m.holdEnd(r.sentHold)
+		r.unproven = false
+	}
+	m.suspects.answered(r.Owner)
+	if !r.Granted {
+		r.Granted = true
+		m.dirty = true
 	}
 }
 
+// recordUnanswered records that a server did not answer a grant.
 func (m *Machine) recordUnanswered(now Time, h keyrange.Holder) {
 	if m.suspects.unanswered(now, h) {
 		m.plannedAt = 0
