--- a/assigner/admission.go
+++ b/assigner/admission.go
@@ -107,6 +107,7 @@
 	f.offered += float64(n)
 }
 
+// server returns the outcomes at a server.
 func (a *admission) server(id string) *serverFlow {
 	f := a.servers[id]
 	if f == nil {
@@ -126,6 +127,7 @@
 	}
 }
 
+// decay reduces every count with its age, and forgets the small ones.
 func (a *admission) decay(now Time) {
 	factor := math.Exp(-float64(now-a.decayedAt) / float64(flowDecayTime))
 	a.decayedAt = now
--- a/assigner/append.go
+++ b/assigner/append.go
@@ -1,5 +1,6 @@
 package assigner
 
+// append starts the append of a record.
 func (m *Machine) append(rec Record, moves []Move) {
 	m.pending, m.pendingAt = &rec, m.end
 	m.storeBusy = true
--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -6,6 +6,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
+// tickFollower reads the store when no assigner has been heard for long enough.
 func (m *Machine) tickFollower(now Time) {
 	wait := m.silenceLimit()
 	if !m.loaded {
@@ -139,6 +140,7 @@
 	m.emit(Publish{Map: out})
 }
 
+// claim appends a record that names this host the assigner of the next epoch.
 func (m *Machine) claim(now Time) {
 	if m.resigned {
 		return
@@ -196,6 +198,8 @@
 	m.resignIfLeading(now)
 }
 
+// resignIfLeading appends a record that names no assigner, if this host leads and may
+// append now.
 func (m *Machine) resignIfLeading(now Time) {
 	if !m.resigned || m.role != leading || !m.mayAct(now) || m.storeBusy || m.pending != nil || now < m.storeRetryAt {
 		return
--- a/assigner/full.go
+++ b/assigner/full.go
@@ -26,6 +26,7 @@
 	return !known
 }
 
+// contains reports whether a server is full.
 func (f *fullServers) contains(now Time, h keyrange.Holder) bool { return now < f.until[h] }
 
 // expire removes and returns, in order of their ids, the servers that are no longer full
@@ -59,6 +60,7 @@
 	}
 }
 
+// expireFull emits FullEnded for each server that is no longer full.
 func (m *Machine) expireFull(now Time) {
 	for _, h := range m.full.expire(now, m.servers) {
 		m.emit(FullEnded{Server: h})
--- a/assigner/lead.go
+++ b/assigner/lead.go
@@ -41,6 +41,7 @@
 	return holdMargin + hold + time.Duration(float64(hold)*clockDrift)
 }
 
+// tickLeading confirms the epoch, plans, grants and releases, and publishes the map.
 func (m *Machine) tickLeading(now Time) {
 	m.confirm(now)
 	m.reloadInDoubt(now)
@@ -82,6 +83,7 @@
 	return publishInterval * time.Duration(max(m.suspects.registered, publishIntervalHosts)) / publishIntervalHosts
 }
 
+// planWhenDue makes a plan once per planInterval, unless an append is outstanding.
 func (m *Machine) planWhenDue(now Time) {
 	if m.resigned || m.pending != nil || m.storeBusy || now < m.storeRetryAt || now-m.plannedAt < planInterval {
 		return
@@ -107,6 +109,7 @@
 	return m.cfg.Hold
 }
 
+// storeDegraded reports whether the last confirmation failed or is late.
 func (m *Machine) storeDegraded(now Time) bool {
 	return m.confirmFailed || m.confirming && now-m.confirmStarted > slowConfirmation
 }
@@ -115,6 +118,7 @@
 // is late.
 func (m *Machine) StoreDegraded(now Time) bool { return m.role == leading && m.storeDegraded(now) }
 
+// confirm starts a confirmation every ConfirmEvery, unless one is outstanding.
 func (m *Machine) confirm(now Time) {
 	if m.confirming || now-m.confirmStarted < m.cfg.ConfirmEvery {
 		return
--- a/assigner/loads.go
+++ b/assigner/loads.go
@@ -55,10 +55,13 @@
 	l.decayed = now
 }
 
+// rememberAddress records the last known address of a server.
 func (l *loads) rememberAddress(h keyrange.Holder, addr string) { l.addrs[h] = addr }
 
+// address returns the last known address of a server, or "".
 func (l *loads) address(h keyrange.Holder) string { return l.addrs[h] }
 
+// forService returns the load of a service's keys.
 func (l *loads) forService(service string) *keyLoads {
 	s := l.services[service]
 	if s == nil {
@@ -68,6 +71,7 @@
 	return s
 }
 
+// add adds the load and the latencies of a report.
 func (l *loads) add(now Time, r Report) {
 	l.decay(now)
 	for _, k := range r.Keys {
@@ -84,6 +88,7 @@
 	}
 }
 
+// decay reduces every count with its age, once per decayInterval.
 func (l *loads) decay(now Time) {
 	if now-l.decayed < decayInterval {
 		return
@@ -132,7 +137,9 @@
 	return out
 }
 
-func quantile(times []int, q float64) (float64, bool) {
+// quantile returns a quantile of latencies in milliseconds. ok is false if there are too
+// few.
+func quantile(times []int, q float64) (millis float64, ok bool) {
 	if len(times) < minLatencies {
 		return 0, false
 	}
--- a/assigner/serviceplan.go
+++ b/assigner/serviceplan.go
@@ -15,6 +15,7 @@
 	full     bool // gets no more keys, but keeps those that it has
 }
 
+// utilization returns the load relative to the capacity.
 func (n *plannedServer) utilization() float64 { return n.load / n.capacity }
 
 // servicePlan is the plan of one service while it is being made.
--- a/assigner/suspects.go
+++ b/assigner/suspects.go
@@ -38,6 +38,7 @@
 	avoidedUntil    map[keyrange.Holder]Time // until when the server is assigned no keys
 }
 
+// suspicion records which hosts were refused by a server, and when.
 type suspicion struct {
 	refusals map[string]Time
 	cleared  bool // a host reached the server
@@ -52,6 +53,7 @@
 	}
 }
 
+// reset discards what was reported under an earlier epoch.
 func (s *suspects) reset() {
 	clear(s.reportedAt)
 	clear(s.suspicions)
@@ -88,6 +90,7 @@
 	return newlyUnreachable
 }
 
+// recordReport records that a host has sent a report.
 func (s *suspects) recordReport(now Time, host string) { s.reportedAt[host] = now }
 
 // reached records that a host reached a server, which clears the suspicion.
--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -17,6 +17,7 @@
 	requests float64 // decayed request count, without the even share
 }
 
+// newWeights returns the weights of a service's keys.
 func newWeights(l *keyLoads) *weights {
 	w := &weights{sum: make([]float64, keyrange.KeyCount+1), requests: l.total}
 	even := uniformShare*l.total/float64(keyrange.KeyCount) + 1/float64(keyrange.KeyCount)
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -32,10 +32,12 @@
 // when the request's wait is over.
 type response struct{ *hostlink.SyncResponse }
 
+// hasUpdates reports whether the response has what the requesting host waits for.
 func (r response) hasUpdates() bool {
 	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil || r.Leaving != nil
 }
 
+// waitFor waits for d, or less if wake is signalled or ctx ends.
 func waitFor(ctx context.Context, wake <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -46,6 +48,7 @@
 	}
 }
 
+// respond returns the present response to a sync request.
 func (c *Cluster) respond(ctx context.Context, q *hostlink.SyncRequest) (response, error) {
 	a, ok := query(ctx, c, func() (a *hostlink.SyncResponse) {
 		c.contain("a sync request", func() { a = c.buildResponse(q) })
@@ -57,6 +60,7 @@
 	return response{a}, nil
 }
 
+// buildResponse takes in the report of a sync request and returns the response to it.
 func (c *Cluster) buildResponse(q *hostlink.SyncRequest) *hostlink.SyncResponse {
 	now := c.cfg.Clock()
 	leads := c.machine.Leads(now)
--- a/cluster/take.go
+++ b/cluster/apply.go
@@ -31,6 +31,7 @@
 	c.views.update(func(v *View) { v.Owners = m })
 }
 
+// logMap logs that requests are routed by a map.
 func (c *Cluster) logMap(m *keyrange.Map) {
 	e := event.MapApplied{Epoch: m.Version.Epoch, Change: m.Version.Change}
 	for _, t := range m.Tables {
@@ -54,6 +55,8 @@
 	c.updateMachineServers(c.View().Servers)
 }
 
+// updateMachineServers passes a directory and the names of the sharded services to the
+// machine.
 func (c *Cluster) updateMachineServers(s *directory.Snapshot) {
 	var sharded []string
 	if t := c.View().Routes; t != nil {
@@ -154,6 +157,7 @@
 	return n % claimRanks
 }
 
+// rankHash returns the hash by which a host is ranked in the present epoch.
 func (c *Cluster) rankHash(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name + "/" + strconv.FormatUint(c.machine.Epoch(), 10))) // never fails
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -41,6 +41,7 @@
 	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
 }
 
+// grantDirect grants a range from this host.
 func (c *Cluster) grantDirect(a assigner.Grant) (assigner.CallResult, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
 	defer cancel()
--- a/cluster/changes.go
+++ b/cluster/changes.go
@@ -60,6 +60,7 @@
 	return ""
 }
 
+// serverEvent describes a backend server for the log.
 func serverEvent(v *directory.Server, s *directory.Snapshot) event.Server {
 	return event.Server{
 		ID:        v.Holder.ID,
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -103,6 +103,7 @@
 	return c
 }
 
+// claimDelay returns the extra delay before a claim.
 func claimDelay(small bool) time.Duration {
 	if small {
 		return smallClaimDelay
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -56,6 +56,7 @@
 	}
 }
 
+// tickTime returns the interval between ticks.
 func (c *Cluster) tickTime() time.Duration {
 	if c.leading {
 		return tickLeading
--- a/cluster/serverwatch.go
+++ b/cluster/serverwatch.go
@@ -65,6 +65,7 @@
 	}
 }
 
+// readServers reads what has changed in the servers' entries and updates w.
 func (c *Cluster) readServers(w *serverWatch) error {
 	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
 	defer cancel()
@@ -94,7 +95,9 @@
 	return nil
 }
 
-func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) ([]directory.Change, uint64, bool, error) {
+// fetchServers returns the changes since the last read and the offset after them. full
+// is set if they are all entries instead.
+func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) (changes []directory.Change, next uint64, full bool, err error) {
 	if w.loaded {
 		changes, next, err := c.store.ReadServers(ctx, w.snapshot.Next)
 		if err == nil || fault.KindOf(err) != fault.LogGap {
@@ -138,6 +141,7 @@
 	return out
 }
 
+// dropLapsed removes the entries that were not written again in the grace period.
 func (w *serverWatch) dropLapsed() {
 	var gone []directory.Change
 	for id := range w.lapsed {
--- a/cluster/storecalls.go
+++ b/cluster/storecalls.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 )
 
+// load reads the newest record.
 func (c *Cluster) load(ctx context.Context) {
 	start := c.cfg.Clock()
 	data, end, err := c.store.LoadAssignment(ctx)
@@ -32,6 +33,7 @@
 	})
 }
 
+// append appends a record.
 func (c *Cluster) append(ctx context.Context, a assigner.Append) {
 	start := c.cfg.Clock()
 	data, err := json.Marshal(a.Record)
@@ -58,6 +60,7 @@
 	c.post(func() { c.machine.StepAppended(c.cfg.Clock(), e) })
 }
 
+// confirm reads the end of the partition.
 func (c *Cluster) confirm(ctx context.Context, from uint64) {
 	start := c.cfg.Clock()
 	end, err := c.store.AssignmentEnd(ctx, from)
@@ -65,6 +68,7 @@
 	c.post(func() { c.machine.StepConfirmed(c.cfg.Clock(), e) })
 }
 
+// logMoves logs and counts the changes of owner in a record.
 func (c *Cluster) logMoves(a assigner.Append) {
 	for _, m := range a.Moves {
 		c.stats.Moves.Inc(1)
@@ -143,6 +147,7 @@
 	return c.outage.failed >= unavailableAfter
 }
 
+// recordStoreAnswered ends an outage of the store, if there was one.
 func (c *Cluster) recordStoreAnswered() {
 	now := c.cfg.Clock()
 	c.outage.mu.Lock()
--- a/cluster/watch.go
+++ b/cluster/watch.go
@@ -83,12 +83,15 @@
 	}
 }
 
+// newestConfig reads the newest configuration and the offset after it.
 func (c *Cluster) newestConfig() ([]byte, uint64, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
 	defer cancel()
 	return c.store.NewestConfig(ctx)
 }
 
+// readConfig waits for a configuration from an offset on. It returns nil if there is
+// none.
 func (c *Cluster) readConfig(next uint64) ([]byte, uint64, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, configWait+pollSlack)
 	defer cancel()
@@ -135,6 +138,8 @@
 	return known
 }
 
+// readHosts registers this host unless it is registered, and returns the registrations
+// from an offset on, or all of them if none are known.
 func (c *Cluster) readHosts(registered *bool, known bool, next uint64) ([]assigner.Host, uint64, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, hostsWait+pollSlack)
 	defer cancel()
--- a/directory/builder.go
+++ b/directory/builder.go
@@ -68,6 +68,7 @@
 	return sorted(b.servers), sorted(b.removed)
 }
 
+// sorted returns the servers sorted by ID.
 func sorted(servers map[string]Server) []Server {
 	out := make([]Server, 0, len(servers))
 	for _, v := range servers {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -206,6 +206,7 @@
 	h.logEvent(event.SettingsRejected{Error: err.Error()})
 }
 
+// serveReadiness answers the load balancer's readiness check.
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !h.gateway.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -214,12 +215,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// serveMetrics writes all metrics as text.
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(h.gateway.Metrics.Registry, w)
 	metrics.WriteOnce(h.cluster.Stats().StoreResults, w)
 	h.writeClusterMetrics(w)
 }
 
+// sweep closes idle connections once per sweepInterval until ctx ends.
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
--- a/gateway/active.go
+++ b/gateway/active.go
@@ -41,6 +41,7 @@
 	return a.last
 }
 
+// count returns the number of requests.
 func (a *activeRequests) count() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -87,6 +87,8 @@
 	return passed + n, err
 }
 
+// closeIfStopping has the caller's connection closed after the response if the host
+// stops.
 func (g *Gateway) closeIfStopping(h http.Header) {
 	if g.stopping.Load() {
 		h.Set("Connection", "close")
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -37,6 +37,7 @@
 	allowed  float64
 }
 
+// budgetSlot counts the requests and retries in one slot of the window.
 type budgetSlot struct{ requests, retries int }
 
 func newBudget(rule BudgetRule) *budget { return &budget{rule: rule} }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 // defaultBufferBytes applies if the host's memory is unknown.
 const defaultBufferBytes = 16 << 20
 
+// bufferBytes returns BufferBytes or its default.
 func (c Config) bufferBytes() int64 {
 	if c.BufferBytes <= 0 {
 		return defaultBufferBytes
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -34,6 +34,7 @@
 	waiters  []*waiter // in the order in which they are admitted
 }
 
+// waiter is a request that waits for admission.
 type waiter struct {
 	priority int
 	admitted chan struct{} // closed when the wait is over
@@ -141,6 +142,7 @@
 	l.admit()
 }
 
+// adjust changes the limit after a request. l.mu must be held.
 func (l *limiter) adjust(took, target time.Duration, shed, failed bool) {
 	switch {
 	case shed:
@@ -152,6 +154,7 @@
 	}
 }
 
+// admit admits waiters while the limit allows. l.mu must be held.
 func (l *limiter) admit() {
 	for len(l.waiters) > 0 && float64(l.inFlight) < l.limit {
 		w := l.waiters[0]
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -208,6 +208,7 @@
 	}
 }
 
+// triedBefore reports whether the request was sent to a server.
 func (q *request) triedBefore(id string) bool {
 	for _, t := range q.tried {
 		if t == id {
@@ -217,6 +218,7 @@
 	return false
 }
 
+// recordAttempt records that the request is sent to a server.
 func (q *request) recordAttempt(id string) {
 	q.sends++
 	q.lastServer = id
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -52,6 +52,7 @@
 	shedding    bool
 }
 
+// stats returns the values that the choice of a server depends on.
 func (s *server) stats(now time.Time) serverStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/hostlink/codec.go
+++ b/hostlink/codec.go
@@ -49,6 +49,7 @@
 	err  error
 }
 
+// get returns the encoded message and encodes it at the first call.
 func (e *encoded) get(encode func() ([]byte, error)) ([]byte, error) {
 	e.once.Do(func() { e.data, e.err = encode() })
 	return e.data, e.err
@@ -63,6 +64,7 @@
 	return compress(data)
 }
 
+// encode encodes a message as JSON.
 func encode(msg drpc.Message) ([]byte, error) {
 	data, err := json.Marshal(msg)
 	if err != nil {
@@ -71,6 +73,7 @@
 	return data, nil
 }
 
+// compress returns the compressed message, which begins with compressed.
 func compress(data []byte) ([]byte, error) {
 	out := bytes.NewBuffer([]byte{compressed})
 	w, err := flate.NewWriter(out, flate.BestSpeed)
--- a/hostlink/pool.go
+++ b/hostlink/pool.go
@@ -60,6 +60,7 @@
 	}
 }
 
+// invoke makes one call, on a connection that no other call uses meanwhile.
 func (p *Pool) invoke(ctx context.Context, addr, method string, in, out drpc.Message) error {
 	conn, err := p.conn(ctx, addr)
 	if err != nil {
@@ -76,6 +77,7 @@
 	return nil
 }
 
+// conn returns an idle connection that is still open, or a new one.
 func (p *Pool) conn(ctx context.Context, addr string) (*drpcconn.Conn, error) {
 	for {
 		c := p.popIdle(addr)
@@ -96,6 +98,7 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(maxResponseBytes)}), nil
 }
 
+// popIdle takes the idle connection that was used last, or returns nil.
 func (p *Pool) popIdle(addr string) *drpcconn.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,6 +111,7 @@
 	return c
 }
 
+// putIdle keeps a connection for the next call.
 func (p *Pool) putIdle(addr string, c *drpcconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -36,8 +36,10 @@
 // attempt cannot be taken for its own.
 type Attempts struct{ conns []*conn }
 
+// used reports whether the request was sent on a connection. a may be nil.
 func (a *Attempts) used(c *conn) bool { return a != nil && slices.Contains(a.conns, c) }
 
+// add records that the request is sent on a connection. a may be nil.
 func (a *Attempts) add(c *conn) {
 	if a != nil {
 		a.conns = append(a.conns, c)
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -75,6 +75,7 @@
 	}
 }
 
+// readHead reads one response head within the limits.
 func (x *exchange) readHead() (*http.Response, error) {
 	source := x.conn.source
 	source.inHead = true
