--- a/assigner/claim.go
+++ b/assigner/claim.go
@@ -122,7 +122,9 @@
 // takes the assigner longer to answer them all.
 func (m *Machine) silenceLimit() time.Duration {
 	extraHosts := max(m.suspects.registered-publishIntervalHosts, 0)
-	return m.cfg.SilenceBeforeClaim + time.Duration(m.rank)*m.cfg.RankDelay + m.cfg.ClaimDelay + time.Duration(extraHosts)*extraHostDelay
+	forRank := time.Duration(m.rank) * m.cfg.RankDelay
+	forHosts := time.Duration(extraHosts) * extraHostDelay
+	return m.cfg.SilenceBeforeClaim + m.cfg.ClaimDelay + forRank + forHosts
 }
 
 // publishRecorded publishes the recorded map on this host while it cannot reach the
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -34,7 +34,9 @@
 
 // hasUpdates reports whether the response has what the requesting host waits for.
 func (r response) hasUpdates() bool {
-	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil || r.Leaving != nil
+	servers := r.Servers != nil || r.Changes != nil || r.Leaving != nil
+	routes := r.Map != nil || r.Config != nil || r.Admission != nil
+	return servers || routes || r.Abandoned || r.ProbeRound != 0
 }
 
 // waitFor waits for d, or less if wake is signalled or ctx ends.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,9 @@
 
 		standings: newStandings(cfg.Drain),
 	}
-	g.servers = newServers(cfg.Dial, upstream.NewBuffers(cfg.bufferBytes()), func(h keyrange.Holder) upstream.Guard { return guard{g, h} })
+	buffers := upstream.NewBuffers(cfg.bufferBytes())
+	guardOf := func(h keyrange.Holder) upstream.Guard { return guard{g, h} }
+	g.servers = newServers(cfg.Dial, buffers, guardOf)
 	return g
 }
 
