--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -6,6 +6,10 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
+// uniformShare is the extra load that is spread evenly over all keys, relative to the
+// counted load, to allow for keys that have not been requested yet.
+const uniformShare = 0.15
+
 // weights holds the prefix sums of the load of a service's keys.
 type weights struct {
 	sum      []float64 // sum[i] is the load of the keys below i
@@ -13,6 +17,7 @@
 	requests float64 // decayed request count, without the even share
 }
 
+// newWeights returns the weights of a service's keys.
 func newWeights(l *keyLoads) *weights {
 	w := &weights{sum: make([]float64, keyrange.KeyCount+1), requests: l.total}
 	even := uniformShare*l.total/float64(keyrange.KeyCount) + 1/float64(keyrange.KeyCount)
--- a/cluster/answer.go
+++ b/cluster/answer.go
@@ -32,10 +32,14 @@
 // when the request's wait is over.
 type response struct{ *hostlink.SyncResponse }
 
+// hasUpdates reports whether the response has what the requesting host waits for.
 func (r response) hasUpdates() bool {
-	return r.Map != nil || r.Servers != nil || r.Changes != nil || r.Config != nil || r.Abandoned || r.ProbeRound != 0 || r.Admission != nil || r.Leaving != nil
+	servers := r.Servers != nil || r.Changes != nil || r.Leaving != nil
+	routes := r.Map != nil || r.Config != nil || r.Admission != nil
+	return servers || routes || r.Abandoned || r.ProbeRound != 0
 }
 
+// waitFor waits for d, or less if wake is signalled or ctx ends.
 func waitFor(ctx context.Context, wake <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -46,6 +50,7 @@
 	}
 }
 
+// respond returns the present response to a sync request.
 func (c *Cluster) respond(ctx context.Context, q *hostlink.SyncRequest) (response, error) {
 	a, ok := query(ctx, c, func() (a *hostlink.SyncResponse) {
 		c.contain("a sync request", func() { a = c.buildResponse(q) })
@@ -57,6 +62,7 @@
 	return response{a}, nil
 }
 
+// buildResponse takes in the report of a sync request and returns the response to it.
 func (c *Cluster) buildResponse(q *hostlink.SyncRequest) *hostlink.SyncResponse {
 	now := c.cfg.Clock()
 	leads := c.machine.Leads(now)
@@ -105,7 +111,7 @@
 }
 
 // addDirectory adds the changes to the directory that the requesting host has from
-// this assigner, or the whole directory. A host that is not the leader sends its
+// this assigner, or the whole directory. A host that is not the assigner sends its
 // directory only to a host that has none.
 func addDirectory(a *hostlink.SyncResponse, v *directory.Snapshot, q *hostlink.SyncRequest) {
 	switch {
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -8,97 +8,19 @@
 	"github.com/lacewingsaddle/lacewingsaddle/event"
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
-	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
 const (
 	// followPause is the first pause after a sync request that failed or was answered
-	// by a host that is not the leader.
+	// by a host that is not the assigner.
 	followPause = 100 * time.Millisecond
 	// maxFollowPause bounds that pause, which doubles on each retry.
 	maxFollowPause = 400 * time.Millisecond
 	// seedsAfterSilence is how long the assigner must be silent before seeds are
 	// contacted too.
 	seedsAfterSilence = 700 * time.Millisecond
-	// maxReportEntries bounds the entries of one report.
-	maxReportEntries = 2000
 )
 
-// AddLoad counts a request for a key in the next report.
-func (c *Cluster) AddLoad(service string, key keyrange.Key) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.report.Keys) < maxReportEntries {
-		c.report.Keys = append(c.report.Keys, assigner.KeyLoad{Service: service, Key: key, Count: 1})
-	}
-}
-
-// AddResponseTime adds the response time of a request at a server to the next report.
-func (c *Cluster) AddResponseTime(server string, took time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.report.Latencies) < maxReportEntries {
-		c.report.Latencies = append(c.report.Latencies, assigner.ServerLatency{ID: server, Millis: int(took.Milliseconds())})
-	}
-}
-
-// AddRejected reports that a server shed a request or closed its connection, which are
-// signs of a full server.
-func (c *Cluster) AddRejected(server string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range c.report.Rejected {
-		if c.report.Rejected[i].ID == server {
-			c.report.Rejected[i].Count++
-			return
-		}
-	}
-	c.report.Rejected = append(c.report.Rejected, assigner.ServerCount{ID: server, Count: 1})
-}
-
-// AddRefused reports that a server refused a connection, which may mean that its
-// process has ended.
-func (c *Cluster) AddRefused(h keyrange.Holder) {
-	c.mu.Lock()
-	c.report.Refused = append(c.report.Refused, h)
-	c.mu.Unlock()
-	c.reportNow()
-}
-
-// reportNow sends the report without waiting for the sync request in progress.
-func (c *Cluster) reportNow() {
-	select {
-	case c.urgent <- struct{}{}:
-	default: // a wake-up is already pending
-	}
-}
-
-// sendUrgent sends reports that must not wait for the next regular sync request.
-func (c *Cluster) sendUrgent() {
-	for {
-		select {
-		case <-c.urgent:
-		case <-c.ctx.Done():
-			return
-		}
-		q := c.nextSync()
-		q.body.WaitMS = 0
-		if q.to.Peer != "" && !c.sendSync(q) {
-			c.sleep(followPause)
-		}
-	}
-}
-
-func (c *Cluster) drainReport() assigner.Report {
-	now := c.cfg.Clock() // before the lock, so that a host paused while reading the clock does not hold it
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := c.report
-	out.Full = c.full.due(now, c.View().Servers)
-	c.report = assigner.Report{}
-	return out
-}
-
 // outgoingSync is a sync request and its destination. The destination is empty if this
 // host leads or knows no assigner.
 type outgoingSync struct {
@@ -131,6 +53,8 @@
 	return q
 }
 
+// buildSync returns a sync request with a report, or passes the report to the machine on
+// the host that is the assigner.
 func (c *Cluster) buildSync(report assigner.Report) outgoingSync {
 	now := c.cfg.Clock()
 	c.learnLeaving(c.cfg.Self.Name, report.Leaving)
@@ -139,15 +63,25 @@
 		return outgoingSync{}
 	}
 	report.Leaving = c.untoldLeaving()
-	q := outgoingSync{to: c.machine.Assigner()}
-	if q.to.Name == c.cfg.Self.Name {
-		q.to = assigner.Host{}
+	return outgoingSync{to: c.syncTarget(now), body: c.syncRequest(report)}
+}
+
+// syncTarget returns the host to send the next sync request to.
+func (c *Cluster) syncTarget(now time.Duration) assigner.Host {
+	to := c.machine.Assigner()
+	if to.Name == c.cfg.Self.Name {
+		to = assigner.Host{}
 	}
 	if c.machine.Silence(now) > seedsAfterSilence {
-		q.to = c.nextSeed(q.to)
+		return c.nextSeed(to)
 	}
+	return to
+}
+
+// syncRequest returns a request for what is newer than the state of this host.
+func (c *Cluster) syncRequest(report assigner.Report) hostlink.SyncRequest {
 	v := c.View()
-	q.body = hostlink.SyncRequest{
+	q := hostlink.SyncRequest{
 		From:       c.cfg.Self,
 		Epoch:      c.machine.Epoch(),
 		Servers:    v.Servers.Version,
@@ -159,13 +93,13 @@
 		Compressed: true,
 	}
 	if v.Owners != nil {
-		q.body.Map = v.Owners.Version
+		q.Map = v.Owners.Version
 	}
 	if v.Admission != nil {
-		q.body.Admission = v.Admission.Version
+		q.Admission = v.Admission.Version
 	}
 	if v.Routes != nil {
-		q.body.Config = v.Routes.Version
+		q.Config = v.Routes.Version
 	}
 	return q
 }
@@ -180,7 +114,7 @@
 	return assigner.Host{Name: "seed", Peer: c.cfg.Seeds[n]}
 }
 
-// sendSync sends one sync request and reports whether the leader answered it.
+// sendSync sends one sync request and reports whether the assigner answered it.
 func (c *Cluster) sendSync(q outgoingSync) bool {
 	limit := syncTimeout + syncTimeoutPerHost*time.Duration(c.View().Hosts)
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
@@ -197,16 +131,9 @@
 	return a.Leads
 }
 
+// applyResponse applies what another host has that is newer.
 func (c *Cluster) applyResponse(a *hostlink.SyncResponse) {
-	now := c.cfg.Clock()
-	if a.Leads {
-		c.machine.HeardAssigner(now, a.Epoch)
-		c.recordAssignerHeard(now, a)
-	}
-	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
-	if a.Abandoned {
-		c.machine.EpochAbandoned(now, a.Epoch)
-	}
+	c.learnAssigner(c.cfg.Clock(), a)
 	c.applyDirectory(a)
 	if a.Leaving != nil {
 		c.applyLeaving(a)
@@ -217,13 +144,7 @@
 	if a.Config != nil {
 		c.applyConfig(a.Config)
 	}
-	if a.Map != nil {
-		if m := a.Map.Unpack(); m != nil {
-			c.applyMap(m)
-		} else {
-			c.logEvent(event.MapInvalid{Epoch: a.Epoch})
-		}
-	}
+	c.applyPackedMap(a)
 	if a.Admission != nil && a.Leads {
 		c.applyAdmission(a.Admission)
 	}
@@ -233,6 +154,31 @@
 	}
 }
 
+// learnAssigner tells the machine what a response says of the assigner.
+func (c *Cluster) learnAssigner(now time.Duration, a *hostlink.SyncResponse) {
+	if a.Leads {
+		c.machine.HeardAssigner(now, a.Epoch)
+		c.recordAssignerHeard(now, a)
+	}
+	c.machine.LearnAssigner(now, a.Epoch, a.Assigner)
+	if a.Abandoned {
+		c.machine.EpochAbandoned(now, a.Epoch)
+	}
+}
+
+// applyPackedMap applies the map of a response, if it has one.
+func (c *Cluster) applyPackedMap(a *hostlink.SyncResponse) {
+	if a.Map == nil {
+		return
+	}
+	m := a.Map.Unpack()
+	if m == nil {
+		c.logEvent(event.MapInvalid{Epoch: a.Epoch})
+		return
+	}
+	c.applyMap(m)
+}
+
 // recordAssignerSilent logs that the assigner did not answer, once per period of
 // silence.
 func (c *Cluster) recordAssignerSilent(q outgoingSync, err error) {
