--- a/cluster/serverwatch.go
+++ b/cluster/serverwatch.go
@@ -43,7 +43,11 @@
 		}
 		epoch := c.leadingEpoch()
 		if !w.loaded {
-			w.snapshot, _ = query(c.ctx, c, func() *directory.Snapshot { return c.directory })
+			known, ok := query(c.ctx, c, func() *directory.Snapshot { return c.directory })
+			if !ok {
+				continue // the cluster stops
+			}
+			w.snapshot = known
 		}
 		if epoch != 0 {
 			w.snapshot = w.snapshot.WithEpoch(epoch)
