--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -46,12 +46,27 @@
 }
 
 func main() {
+	s := catchSignals() // first, as a signal that is not caught ends the process
 	var args arguments
 	arg.MustParse(&args)
-	os.Exit(run(args))
+	os.Exit(run(args, s))
 }
 
-func run(args arguments) int {
+// caught receives the signals that the process handles.
+type caught struct {
+	stops   chan os.Signal
+	hangups chan os.Signal
+}
+
+func catchSignals() caught {
+	s := caught{stops: make(chan os.Signal, 2), hangups: make(chan os.Signal, 1)}
+	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	return s
+}
+
+func run(args arguments, s caught) int {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -61,11 +76,6 @@
 		return 0
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGPIPE)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	var host *edge.Host
 	output := logsink.NewWriter(os.Stdout)
 	defer output.Stop()
@@ -82,8 +92,8 @@
 		edge.Module,
 		fx.Populate(&host),
 	)
-	go reloadOnHangup(hangups, host)
-	return serve(app, signals, settings.StopGrace+stopReserve)
+	go reloadOnHangup(s.hangups, host)
+	return serve(app, s.stops, settings.StopGrace+stopReserve)
 }
 
 func options(s platform.Settings) edge.Options {
