httpdrain: the unread rest of a body holds up no stop

A planned stop lasted to the end of its plan (5.6 s instead of 3.1 s) while one caller kept a connection open whose request had been refused before the end of its body. A request that the gateway answers without reading its body (no route) got no answer at all if its body stalled before the stop.

Cause: net/http reads the unread rest of a short or chunked body once the handler has returned, without a time limit, and for a connection that may be kept even before it sends the response. The drain waits for the connection, and cuts it off at the end.

Now a connection knows when the handler of its request returned. A stop ends the read of the rest bodyTail later: net/http then sends a response that it held back, and closes the connection. A handler that still reads is not affected (row "read by the handler"), nor is HTTP/2.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -29,6 +29,7 @@
 	start    []byte    // the first bytes that were read, up to the length of http2Start
 	idle     bool      // no byte of a request was read since the last response
 	since    time.Time // when it was accepted or became idle
+	handled  time.Time // when the handler of its present request returned; zero before
 	ending   bool      // reads end unless bytes have arrived
 	deadline time.Time // of reads, as net/http wants it
 }
@@ -147,6 +148,25 @@
 	_ = c.Conn.SetReadDeadline(past) // fails only on a closed connection
 }
 
+// endBodyIfHandledBefore ends the read of the rest of a request's body if the request's
+// handler returned before t. net/http waits for that rest without a limit, in part before
+// it sends the response. An HTTP/2 connection may have other requests.
+func (c *conn) endBodyIfHandledBefore(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handled.IsZero() || c.handled.After(t) || string(c.start) == http2Start {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(past) // fails only on a closed connection
+}
+
+// markHandled records that the handler of a request has returned.
+func (c *conn) markHandled(now time.Time) {
+	c.mu.Lock()
+	c.handled = now
+	c.mu.Unlock()
+}
+
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,6 +186,6 @@
 
 func (c *conn) markIdle(now time.Time) {
 	c.mu.Lock()
-	c.idle, c.since = true, now
+	c.idle, c.since, c.handled = true, now, time.Time{}
 	c.mu.Unlock()
 }
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -23,12 +23,18 @@
 	// acceptLimit is the time for the backlog, also in a drain that has less.
 	acceptLimit  = 200 * time.Millisecond
 	pollInterval = 10 * time.Millisecond
+	// bodyTail is how long net/http may read the rest of the body of a request that its
+	// handler has answered.
+	bodyTail = 500 * time.Millisecond
 )
 
+// connKey is the key of a request's *conn in its context.
+type connKey struct{}
+
 // Server is an http.Server with a drain of its own. Create it with New or Wrap.
 type Server struct {
 	// HTTP is the server that handles the requests. Its fields may be changed until
-	// Serve is called, except for Handler and ConnState.
+	// Serve is called, except for Handler, ConnContext and ConnState.
 	HTTP *http.Server
 	// MaxConns bounds the open connections; 0 means no limit. It may be set until Serve
 	// is called. A drain exceeds it for the connections in the listener's backlog, as
@@ -47,8 +53,8 @@
 // New returns a server of handler that is not started.
 func New(handler http.Handler) *Server { return Wrap(&http.Server{Handler: handler}) }
 
-// Wrap returns a server that serves with h, which is not started. It replaces the Handler
-// and the ConnState of h.
+// Wrap returns a server that serves with h, which is not started. It replaces the Handler,
+// the ConnContext and the ConnState of h.
 func Wrap(h *http.Server) *Server {
 	s := &Server{HTTP: h, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
 	handler := h.Handler
@@ -57,7 +63,11 @@
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.markHandled(time.Now())
+		}
 	})
+	h.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	h.ConnState = s.track
 	return s
 }
@@ -90,13 +100,15 @@
 	s.mu.Unlock()
 }
 
-// CloseIdle ends the connections that have been without a request for a while.
+// CloseIdle ends the connections that have been without a request for a while, or on which
+// only the rest of the body of a request that was answered is missing.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := time.Now().Add(-quietTime)
+	now := time.Now()
 	for c := range s.conns {
-		c.endIfIdleSince(before)
+		c.endIfIdleSince(now.Add(-quietTime))
+		c.endBodyIfHandledBefore(now.Add(-bodyTail))
 	}
 }
 
