--- a/edge/gatewaystop_test.go
+++ b/edge/gatewaystop_test.go
@@ -233,6 +233,17 @@
 	return false
 }
 
+// loseThenRefuse runs the first attempt of each request, loses the response, and refuses
+// the others as not run.
+func loseThenRefuse(h *stoppingHost, conn net.Conn, req *http.Request) bool {
+	if h.countAttempt(req) == 1 {
+		h.run(req)
+		return false
+	}
+	_, err := io.Copy(io.Discard, req.Body)
+	return err == nil && reply(conn, req, http.StatusServiceUnavailable, "X-Not-Run: 1")
+}
+
 // refuseOnce refuses the first attempt of each request as not run.
 func refuseOnce(h *stoppingHost, conn net.Conn, req *http.Request) bool {
 	if h.countAttempt(req) > 1 {
@@ -456,6 +467,7 @@
 	{name: "servers that never answer", standIn: neverAnswer, loaded: []int{503, 504}},
 	{name: "servers that never answer with few connections", standIn: neverAnswer, maxConns: 4, loaded: []int{503, 504}},
 	{name: "answers that are lost", standIn: loseAnswer, loaded: []int{200, 502, 503}},
+	{name: "answers that are lost before a refusal", standIn: loseThenRefuse, loaded: []int{502, 503}},
 	{name: "servers that refuse once", standIn: refuseOnce, loaded: []int{200, 503}},
 	{name: "servers that read slowly", standIn: readSlowly, loaded: []int{200, 503}},
 	{name: "no owner", standIn: answerAfter(2 * time.Millisecond), change: removeOwner, loaded: []int{200, 503}},
