gateway: a server with requests in its limiter is not dropped

A backend server that was no longer listed was dropped while requests were admitted or waited in its limiter, as only requests that were being sent counted. If it was listed again then, it got a second limiter, and the host could use twice its share of connections for a while. Found by review.

TestServerWithRequestsInItsLimiterIsKept failed before ("Not same"). A request that has chosen the server and not yet reached the limiter is still not counted.

--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -90,6 +90,13 @@
 	return l.inFlight, int(l.limit)
 }
 
+// isIdle reports whether no request is admitted and none waits.
+func (l *limiter) isIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight == 0 && len(l.waiters) == 0
+}
+
 // enqueue inserts w behind the waiters of the same priority.
 func (l *limiter) enqueue(w *waiter) {
 	i := sort.Search(len(l.waiters), func(i int) bool { return l.waiters[i].priority > w.priority })
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -126,7 +126,7 @@
 }
 
 // sweep closes connections that have been idle too long and removes servers that
-// are no longer listed and have no requests in flight.
+// are no longer listed and have no requests, neither in flight nor waiting.
 func (s *servers) sweep(now time.Time, listed *directory.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,10 +137,7 @@
 		}
 		if l := listed.Find(h.ID); l == nil || l.Holder != h {
 			v.conns.Close()
-			v.mu.Lock()
-			idle := v.outstanding == 0
-			v.mu.Unlock()
-			if idle {
+			if v.limiter.isIdle() {
 				delete(s.all, h)
 			}
 		}
