--- a/cluster/withdrawn_test.go
+++ b/cluster/withdrawn_test.go
@@ -238,7 +238,7 @@
 	w.reconnect()
 	o.watch(settleTime)
 	for range 100 {
-		o.watch(20*time.Millisecond)
+		o.watch(20 * time.Millisecond)
 		w.holdsNothing(w.t, s)
 		require.Zero(w.t, w.keysOfServer(s.holder))
 	}
