--- a/gateway/lost_test.go
+++ b/gateway/lost_test.go
@@ -55,6 +55,7 @@
 	{0, false},
 	{4, false},
 	{4, true},
+	{6 << 10, false}, // written with its head, and read in parts
 	{20 << 10, false},
 	{20 << 10, true},
 	{maxBufferedBody + 5, false},
