assigner: a record that assigns a service twice is rejected

A record of the assignment that names a service twice was taken, and the tables of both were acted on: two servers held a key. No host writes such a record; it would come from another program with access to the store. It is BadRecord now, as other records that can't be right.

TestUnreadableRecordEndsNoProcess failed before in its rows "a service twice" ("key 0 has 2 holders at 4.87s"). Its other rows, and TestStrangeRecordEndsNoProcess, passed: no record ends a process.

Not changed: while the newest record is unreadable no host becomes the assigner, so no grant is renewed until a readable record follows. That is deliberate, since nobody knows what it stands for.

--- a/assigner/record.go
+++ b/assigner/record.go
@@ -84,7 +84,12 @@
 	if len(in.Leaving) > 0 {
 		r.Leaving = in.Leaving
 	}
+	services := map[string]bool{}
 	for _, t := range in.Tables {
+		if services[t.Service] {
+			return fault.Newf(fault.BadRecord, "two assignments of service %s", t.Service)
+		}
+		services[t.Service] = true
 		table, err := t.table(in.Servers)
 		if err != nil {
 			return err
