--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -87,13 +87,6 @@
 	s.mu.Unlock()
 }
 
-// idle reports whether no request is outstanding.
-func (s *server) idle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.outstanding == 0
-}
-
 // markShedding records that the server shed load.
 func (s *server) markShedding(until time.Time) {
 	s.mu.Lock()
@@ -150,7 +143,7 @@
 }
 
 // sweep closes connections that have been idle too long and removes servers that
-// are no longer listed and have no requests in flight.
+// are no longer listed and have no requests, neither in flight nor waiting.
 func (s *servers) sweep(now time.Time, listed *directory.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,7 +156,7 @@
 			continue
 		}
 		v.conns.Close()
-		if v.idle() {
+		if v.limiter.isIdle() {
 			delete(s.all, h)
 		}
 	}
