eligibility: a server that leaves and is full counts as leaving

What callers saw: a server answers a request for one of its keys 503 with Server-Leaving and Retry-After: 60. Its keys move within a second, but every caller was refused with a Retry-After of a minute, and a request that could have waited for the new owner was refused. Callers of a service without keys were told to come back at the end of that server's pause, when it serves nobody either.

Cause: Check asked for the pause first, so that a leaving server was Full.

Nothing more is sent than before: during the pause nothing, then first requests for keys until the drain time's share is over. Only the reason changes, by which the path waits for the new owner. The property test asks for the exact reason in both cases.

--- a/eligibility/book.go
+++ b/eligibility/book.go
@@ -110,20 +110,27 @@
 //
 // A full server is sent nothing: with many hosts, a single trial of each keeps it full. A
 // leaving server is sent only first attempts of requests for keys that it owns, until the
-// share of the drain time is over in which another server becomes their owner.
+// share of the drain time is over in which another server becomes their owner. A server
+// that is both is sent nothing, and counts as leaving: its keys move and it takes no other
+// requests, so nobody is to wait for the end of its pause.
 func (b *Book) Check(h keyrange.Holder, now time.Time, r Request) Verdict {
 	s := b.states[h]
 	switch {
 	case s == nil:
 		return Verdict{Standing: Eligible}
+	case s.isLeaving() && (s.isFull(now) || !b.mayServe(s, now, r)):
+		return Verdict{Standing: Leaving}
 	case s.isFull(now):
 		return Verdict{Standing: Full, Until: s.fullUntil}
-	case s.isLeaving() && (!r.Keyed || r.Retry || !now.Before(b.ownerUntil(s))):
-		return Verdict{Standing: Leaving}
 	}
 	return Verdict{Standing: Eligible}
 }
 
+// mayServe reports whether a leaving server that is not full may be sent a request.
+func (b *Book) mayServe(s *state, now time.Time, r Request) bool {
+	return r.Keyed && !r.Retry && now.Before(b.ownerUntil(s))
+}
+
 // IsLeaving reports whether h leaves.
 func (b *Book) IsLeaving(h keyrange.Holder) bool {
 	s := b.states[h]
--- a/eligibility/property_test.go
+++ b/eligibility/property_test.go
@@ -84,9 +84,13 @@
 	for _, r := range []Request{plain, keyed, keyedRetry} {
 		v := b.Check(h, now, r)
 		switch {
-		case paused:
+		case paused && known.left.IsZero() && listedReady:
 			require.Equal(rt, Full, v.Standing)
 			require.True(rt, v.Until.After(now))
+		case paused && known.left.IsZero():
+			require.False(rt, v.Allowed())
+		case paused:
+			require.Equal(rt, Leaving, v.Standing, "its keys move, so nothing waits for the end of the pause")
 		case !known.left.IsZero() && (r != keyed || !now.Before(known.left.Add(testDrain))):
 			require.Equal(rt, Leaving, v.Standing, "%+v", r)
 		case known.left.IsZero() && listedReady:
