gateway: an attempt that sent no byte does not make a request a retry

What callers saw: while a key's owner leaves, in the time in which it still takes requests for its keys, a request whose connection could not be opened (or that met a closed or reset one before a byte of it was written) was held for a new owner and refused, although nothing had been sent. Connections to a leaving server are not kept, so that each request opens one, and a server with many callers resets some of them.

Cause: Retry was derived from the number of attempts, not from what was sent.

Evidence, TestUnsentRequestIsNoRetryAtALeavingOwner on the code before: expected "s1", actual "moving".

The request notes whether a byte of it may have reached a server. A request that did is still never sent to a leaving server again, as the same test asserts, and the number of attempts stays bounded.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -262,6 +262,7 @@
 		err = g.classify(q, a)
 	}
 	s.requestEnded(took, countsAsFailure(a, err))
+	q.delivered = q.delivered || !isUnsent(err)
 	if err != nil {
 		q.mayHaveRun = q.mayHaveRun || mayHaveRun(err)
 		if isRejection(err) {
@@ -285,14 +286,27 @@
 	return fault.Wrap(fault.Timeout, err, "this host stops and the server has not answered")
 }
 
+// isUnsent reports whether no byte of a request reached the server, as its send failed
+// with err.
+func isUnsent(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.Refused, fault.DialFailed, fault.Overloaded, fault.NotSent:
+		return true
+	}
+	return false
+}
+
 // mayHaveRun reports whether the server may have run a request whose send failed
 // with err.
 func mayHaveRun(err error) bool {
-	switch fault.KindOf(err) {
-	case fault.Refused, fault.DialFailed, fault.Overloaded, fault.NotSent, fault.StaleToken, fault.NotAccepted:
+	if isUnsent(err) {
 		return false
 	}
-	return true
+	kind := fault.KindOf(err)
+	return kind != fault.StaleToken && kind != fault.NotAccepted
 }
 
 // countsAsFailure reports whether an outcome counts towards the server's failure rate.
@@ -323,7 +337,7 @@
 		Length:   q.length,
 		Once:     q.atMostOnce(),
 		Keyed:    q.keyed,
-		Retry:    q.sends > 1,
+		Retry:    q.delivered,
 		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -48,7 +48,7 @@
 
 // checkServer decides whether q may be sent to h now.
 func (g *Gateway) checkServer(q *request, h keyrange.Holder) eligibility.Verdict {
-	return g.standings.check(h, eligibility.Request{Keyed: q.keyed, Retry: q.sends > 0})
+	return g.standings.check(h, eligibility.Request{Keyed: q.keyed, Retry: q.delivered})
 }
 
 // ownerFullError refuses a request whose key's owner is full.
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,6 +135,29 @@
 	})
 }
 
+// A request for a key of a leaving server that could not be sent at all, as no connection
+// was opened, was refused as if it were a retry.
+func TestUnsentRequestIsNoRetryAtALeavingOwner(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		dials := 0
+		b.gateway.servers.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials == 2 {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
+			}
+			return b.dial(ctx, network, addr)
+		}
+		s1 := sound()
+		a := b.watch(map[string]*scripted{"s1": s1})
+		s1.set(200, leavingLine)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "first", "x").Body.String())
+		require.Equal(t, "s1", b.send("POST", "/book/1", "unsent", "x").Body.String())
+		require.Equal(t, 2, a.count("s1"))
+		s1.set(503, "")
+		b.refusedIn(t, "/look/1", "shed")
+		require.Equal(t, 3, a.count("s1"), "a request that was sent there is not sent there again")
+	})
+}
+
 // Requests that wait for room at a server that leaves are placed anew.
 func TestQueuedRequestsLeaveWithTheServer(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,6 +63,7 @@
 	tried        []string // ids of the backend servers that it was sent to, each once
 	lastServer   string   // id of the backend server of the last attempt
 	sends        int
+	delivered    bool // a byte of it may have reached a server
 	restConsumed bool // part of the request's rest may have been read
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -35,7 +35,7 @@
 	Length   int64     // of Body and Rest together; -1 means chunked
 	Once     bool      // may run at most once
 	Keyed    bool      // the server owns the key of the request
-	Retry    bool      // it was sent before, to this or another server
+	Retry    bool      // a byte of it was sent before, to this or another server
 	// Attempts is shared by all requests that are sent with the same ID.
 	Attempts *Attempts
 	Deadline time.Time
