gateway, edge: a host applies each directory as soon as it is published

Evidence, with a Follow that does nothing: TestDrainTimeCountsFromTheDirectory: expected 503, actual 200 TestWaitingRequestsLeaveADrainingServerAtOnce: expected o2, actual o1

A goroutine of the host waits for each next view and applies its directory; an unchanged directory costs a comparison.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -135,6 +135,7 @@
 	if err := h.serve(h.metrics, h.opts.Metrics); err != nil {
 		return err
 	}
+	h.runInBackground(func() { h.gateway.Follow(ctx) })
 	h.runInBackground(func() { h.sweep(ctx) })
 	h.logEvent(event.HostStarted{
 		Incarnation: h.incarnation,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,20 @@
 	return !g.stopping.Load() && v.Routes != nil && len(v.Servers.Servers) > 0 && v.Owners != nil
 }
 
+// Follow applies each directory of backend servers as soon as it is published, until ctx
+// ends. Without it a directory is applied with the next request or sweep: the drain time
+// of a server would count from then, and requests that wait for the server would go on
+// waiting.
+func (g *Gateway) Follow(ctx context.Context) {
+	for {
+		select {
+		case <-g.view().Next:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Sweep closes connections that have been idle too long, removes servers that are no
 // longer in the directory, and ends judgements on servers whose time is over.
 func (g *Gateway) Sweep() {
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -204,6 +204,49 @@
 	})
 }
 
+// follow runs Follow until the returned function is called.
+func (b *testGateway) follow(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); b.gateway.Follow(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+// A host that had no requests for a while counted the drain time from its next request,
+// not from the moment at which it learnt that the server drains.
+func TestDrainTimeCountsFromTheDirectory(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		defer b.follow(t)()
+		a := b.watch(map[string]*scripted{"s1": sound()})
+		b.list(map[string]directory.State{"s1": directory.Draining})
+		time.Sleep(ownerTime - 10*time.Millisecond)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "in time", "x").Body.String())
+		time.Sleep(10 * time.Millisecond)
+		b.refusedIn(t, "/book/1", "late")
+		require.Equal(t, 1, a.count("s1"))
+	})
+}
+
+// Requests that wait for room at a server that drains waited on until another request, or
+// the next sweep, applied the directory.
+func TestWaitingRequestsLeaveADrainingServerAtOnce(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		defer b.follow(t)()
+		a := b.watch(map[string]*scripted{"o1": {status: 200, takes: 250 * time.Millisecond}, "o2": sound()})
+		b.list(map[string]directory.State{"o2": directory.Draining})
+		done := b.occupy("/order/1")
+		served := make(chan string)
+		go func() { served <- b.send("POST", "/order/1", "waits", "x").Body.String() }()
+		synctest.Wait()
+		start := time.Now()
+		b.list(map[string]directory.State{"o1": directory.Draining, "o2": directory.Ready})
+		require.Equal(t, "o2", <-served)
+		require.Less(t, time.Since(start), 50*time.Millisecond)
+		done.Wait()
+		require.Equal(t, minConnections, a.count("o1"), "requests in flight are not cut off")
+	})
+}
+
 // Kept connections to a server that leaves are closed once they are idle.
 func TestConnectionsToLeavingServerAreClosed(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
