gateway: refuse at once where a leaving owner has no possible successor

What callers saw: when the only server of a sharded service leaves (or all of them do), every request for its keys was held for 0.45 of its latency target for a new owner, which there is none to become, and then refused.

Cause: a leaving owner always led to the wait for another one.

Evidence, TestKeysOfTheOnlyServerAreRefusedAtOnceWhenItHasLeft on the code before: "270ms" is not less than "10ms".

The directory and the judgements tell whether a server of the service stays. If none does, the request is refused as not run.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -186,7 +187,7 @@
 
 // eligibleOwner returns the server that owns the key according to a view, or nil if there
 // is none that q may be sent to: it then waits for another owner. It returns an error if
-// the owner is full, as no other server can run q.
+// the owner is full, as no other server can run q, or leaves and is the last of its service.
 func (g *Gateway) eligibleOwner(q *request, view *cluster.View) (*server, error) {
 	s := g.ownerIn(q, view)
 	if s == nil {
@@ -196,11 +197,28 @@
 	case eligibility.Full:
 		return nil, ownerFullError(s, v)
 	case eligibility.Leaving:
-		return nil, nil
+		return nil, g.lastServerError(q, view)
 	}
 	return s, nil
 }
 
+// lastServerError refuses a request whose key's owner leaves, if no other server is there
+// that may become the owner. Otherwise it returns nil.
+func (g *Gateway) lastServerError(q *request, view *cluster.View) error {
+	if g.hasStayingServer(q, view) {
+		return nil
+	}
+	return notRun(fault.NoOwner, "the key's owner leaves, and the service has no other backend server", retryAfterDefault)
+}
+
+// hasStayingServer reports whether the directory lists a server of q's service that does
+// not leave.
+func (g *Gateway) hasStayingServer(q *request, view *cluster.View) bool {
+	return slices.ContainsFunc(view.Servers.Servers, func(v directory.Server) bool {
+		return v.Service == q.service.Name && !g.standings.isLeaving(v.Holder)
+	})
+}
+
 // ownerIn returns the server that owns the key according to a view, or nil.
 func (g *Gateway) ownerIn(q *request, view *cluster.View) *server {
 	r := rangeOf(q, view)
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -135,6 +135,32 @@
 	})
 }
 
+// Requests for the keys of a service's only server waited for another owner, which there
+// is none to become, when that server had left.
+func TestKeysOfTheOnlyServerAreRefusedAtOnceWhenItHasLeft(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		s1 := sound()
+		a := b.watch(map[string]*scripted{"s1": s1})
+		b.list(map[string]directory.State{"s2": directory.Draining})
+		s1.set(200, leavingLine)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "first", "x").Body.String())
+		require.Equal(t, "s1", b.send("POST", "/book/1", "still served", "x").Body.String())
+		s1.set(503, leavingLine)
+		took, _ := b.refusedIn(t, "/book/1", "shed")
+		require.Less(t, took, 10*time.Millisecond)
+		require.Equal(t, 3, a.count("s1"))
+		time.Sleep(ownerTime)
+		took, retry := b.refusedIn(t, "/book/1", "late")
+		require.Zero(t, took)
+		require.Less(t, retry, time.Second)
+		require.Equal(t, 3, a.count("s1"))
+
+		b.list(map[string]directory.State{"s2": directory.Ready})
+		took, _ = b.refusedIn(t, "/book/1", "may move")
+		require.Greater(t, took, 100*time.Millisecond, "s2 may become the owner")
+	})
+}
+
 // A request for a key of a leaving server that could not be sent at all, as no connection
 // was opened, was refused as if it were a retry.
 func TestUnsentRequestIsNoRetryAtALeavingOwner(t *testing.T) {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -94,7 +94,7 @@
 // checkRetryLeft is checkRetry for a request that its key's owner shed as it leaves. Only
 // another owner can run it.
 func (g *Gateway) checkRetryLeft(q *request, s *server) event.Reason {
-	if !g.waitForNewOwner(q, s, q.ownerWait()) {
+	if !g.hasStayingServer(q, g.view()) || !g.waitForNewOwner(q, s, q.ownerWait()) {
 		return event.ReasonNoNewOwner
 	}
 	return g.takeRetry(q)
