gateway: report each leaving server again, also while others leave

What would be seen: in a release servers leave one after the other. A report that the control side could not keep (the entry was not listed at that moment, or lapsed and came back) was not repeated until 3 s after the last server of the release had left: the other hosts went on using the server.

Cause: one time of the last report for all servers, which each newly leaving server moved on.

The time is kept for each server.

--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -332,3 +332,36 @@
 func (b *testGateway) gauge(name string) int64 {
 	return b.gateway.Metrics.Registry.Get(name).(interface{ Value() int64 }).Value()
 }
+
+// In a release, in which servers leave one after the other, the report of the first was
+// not repeated until the last had left.
+func TestLeavingServerIsReportedAgainWhileOthersLeave(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		o1, s1, s2 := sound(), sound(), sound()
+		b.watch(map[string]*scripted{"o1": o1, "o2": sound(), "s1": s1, "s2": s2})
+		sweeps := func(n int) {
+			for range n {
+				time.Sleep(time.Second)
+				b.gateway.Sweep()
+			}
+		}
+		b.sendToO1(t)
+		o1.set(200, leavingLine)
+		require.Equal(t, "o1", b.send("GET", "/list/1", "a", "").Body.String())
+		sweeps(2)
+		s1.set(200, leavingLine)
+		require.Equal(t, "s1", b.send("GET", "/look/1", "b", "").Body.String())
+		sweeps(2)
+		b.control.change(func(v *cluster.View) { v.Owners = owners("s2", 2) })
+		s2.set(200, leavingLine)
+		require.Equal(t, "s2", b.send("GET", "/look/1", "c", "").Body.String())
+		sweeps(2)
+		var again int
+		for _, h := range b.control.leaving {
+			if h == holder("o1") {
+				again++
+			}
+		}
+		require.Equal(t, 3, again, "at once, after 3 s and after 6 s: %v", b.control.leaving)
+	})
+}
--- a/gateway/standings.go
+++ b/gateway/standings.go
@@ -22,17 +22,18 @@
 // standings holds the judgements on the backend servers, from the directory and from the
 // servers' answers.
 type standings struct {
-	mu       sync.Mutex
-	book     *eligibility.Book
-	listed   *directory.Snapshot // applied to book last
-	reported time.Time           // when a leaving server was last reported
+	mu     sync.Mutex
+	book   *eligibility.Book
+	listed *directory.Snapshot // applied to book last
+	// reported holds when each server that said that it leaves was last reported.
+	reported map[keyrange.Holder]time.Time
 }
 
 func newStandings(drain time.Duration) *standings {
 	if drain <= 0 {
 		drain = defaultDrain
 	}
-	return &standings{book: eligibility.NewBook(drain)}
+	return &standings{book: eligibility.NewBook(drain), reported: map[keyrange.Holder]time.Time{}}
 }
 
 // check decides whether a request may be sent to h now.
@@ -54,7 +55,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if a.Leaving && !s.book.IsLeaving(h) {
-		s.reported = now
+		s.reported[h] = now
 	}
 	return s.book.Answered(h, now, a)
 }
@@ -79,19 +80,31 @@
 }
 
 // unnoticed returns the servers that said that they leave and are still listed as ready,
-// if it is time to report them again.
+// those of them that it is time to report again.
 func (s *standings) unnoticed(now time.Time) []keyrange.Holder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listed == nil || now.Sub(s.reported) < reportLeavingEvery {
-		return nil
-	}
-	s.reported = now
 	var out []keyrange.Holder
+	reported := map[keyrange.Holder]time.Time{}
 	for _, h := range s.book.LeavingByAnswer() {
-		if v := s.listed.Find(h.ID); v != nil && v.Holder == h && v.State == directory.Ready {
+		if !s.listsReady(h) {
+			continue
+		}
+		reported[h] = s.reported[h]
+		if now.Sub(reported[h]) >= reportLeavingEvery {
+			reported[h] = now
 			out = append(out, h)
 		}
 	}
+	s.reported = reported
 	return out
 }
+
+// listsReady reports whether the directory lists h as ready. s.mu must be held.
+func (s *standings) listsReady(h keyrange.Holder) bool {
+	if s.listed == nil {
+		return false
+	}
+	v := s.listed.Find(h.ID)
+	return v != nil && v.Holder == h && v.State == directory.Ready
+}
