platform, cluster: read in answers to grants that a server leaves

What was missing: a leaving server says so in all its answers. A server whose keys nobody asks for gets only grants, and their answers were not read: it kept its keys, could get more, and the first request for one of them was the first to tell.

Evidence: TestLeavingServerWithoutRequestsLosesItsKeys without the report: expected draining, actual ready.

Grant returns a typed answer (result and whether the server leaves), of each response that is to this call, of whatever status. The host that made the call, the assigner or one that relays for it, reports the owner like after its answer to a request. Releases are not read: their server is losing its keys already.

--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -55,7 +55,17 @@
 func (c *Cluster) grantDirect(a assigner.Grant) (assigner.CallResult, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
 	defer cancel()
-	return c.backends.Grant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+	return c.sendGrant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+}
+
+// sendGrant sends a grant to its owner. The answers to grants are the only ones of a
+// server that gets no requests: it may say in them that it leaves.
+func (c *Cluster) sendGrant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, handover string) (assigner.CallResult, error) {
+	answer, err := c.backends.Grant(ctx, addr, r, hold, handover)
+	if answer.Leaving {
+		c.AddLeaving(r.Owner)
+	}
+	return answer.Result, err
 }
 
 // release revokes a range from its holder. If this host cannot reach the server,
@@ -196,7 +206,7 @@
 		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
 	} else {
 		hold := time.Duration(call.HoldMS) * time.Millisecond
-		out.Result, err = c.backends.Grant(ctx, call.Address, call.Range, hold, call.Handover)
+		out.Result, err = c.sendGrant(ctx, call.Address, call.Range, hold, call.Handover)
 	}
 	if err != nil {
 		c.logEvent(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// A leaving server that got no requests kept its keys until its entry told so, as only its
+// answers to requests were read.
+func TestLeavingServerWithoutRequestsLosesItsKeys(t *testing.T) {
+	withDeployment(t, 4, 6, func(w *world) {
+		s := w.server("s1")
+		w.setServer("s1", func(s *fakeServer) { s.leaving = true })
+		require.Less(t, w.watch(drainBound), 200*time.Millisecond)
+		w.requireDrainingEverywhere(t, s.holder)
+		require.Zero(t, w.keysOfServer(s.holder))
+		w.holdsNothing(t, s)
+		require.Equal(t, sampled, w.heldKeys())
+	})
+}
+
 // knownLeaving returns the servers that a host knows to leave.
 func (c *Cluster) knownLeaving() []keyrange.Holder {
 	out, _ := query(context.Background(), c, c.leaving.known.Holders)
--- a/cluster/ports.go
+++ b/cluster/ports.go
@@ -61,9 +61,15 @@
 	Close()
 }
 
+// GrantAnswer is the outcome of a grant.
+type GrantAnswer struct {
+	Result  assigner.CallResult
+	Leaving bool // the server answered that it leaves
+}
+
 // Backends sends grants and releases to backend servers.
 type Backends interface {
-	Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, handover string) (assigner.CallResult, error)
+	Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, handover string) (GrantAnswer, error)
 	Release(ctx context.Context, addr string, r keyrange.Range) (handover string, result assigner.CallResult, err error)
 	// Probe connects to an address. The error tells whether a process listens there.
 	Probe(ctx context.Context, addr string) error
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -246,6 +246,7 @@
 	// applyDelay is the delay with which an unanswered grant is applied.
 	applyDelay time.Duration
 	service    string // empty for stockName
+	leaving    bool   // its answers to grants say that it leaves
 	seen       [sampled]keyrange.Fence
 	until      [sampled]time.Time
 }
@@ -507,7 +508,15 @@
 }
 
 // Grant implements Backends.
-func (w *world) Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, _ string) (assigner.CallResult, error) {
+func (w *world) Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, _ string) (GrantAnswer, error) {
+	result, err := w.grant(ctx, addr, r, hold)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.server(r.Owner.ID)
+	return GrantAnswer{Result: result, Leaving: serverAnswered(result) && s != nil && s.leaving}, err
+}
+
+func (w *world) grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration) (assigner.CallResult, error) {
 	if err := wait.Sleep(ctx, hop); err != nil {
 		return assigner.CallFailed, err
 	}
