gateway: a full server's pause is no Retry-After while others have room

What callers saw: a request that was shed by as many full servers as its route allows (two) was refused with the first end of their pauses, up to minutes, also where other servers of the service had room and would have served the caller's next try at once.

Cause: with no server left that the request may be sent to, every server was taken to be full.

Evidence, TestRefusalBySomeFullServersIsShort before: "1m0.235s" is not less than "1s".

If servers are left that the request was not sent to, it is refused with the Retry-After of a shed request. The refusal until the end of the first pause stays for services of which every server is full (TestEveryServerIsFull).

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -108,6 +108,8 @@
 	switch {
 	case s != nil:
 		return s, nil
+	case len(o.untried) > 0:
+		return nil, notRun(fault.NotAccepted, "the request was sent to as many backend servers as its route allows", retryAfterShed)
 	case !o.pauseEnd.IsZero():
 		return nil, allFullError(o.pauseEnd)
 	}
--- a/gateway/full_test.go
+++ b/gateway/full_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +13,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lacewingsaddle/lacewingsaddle/cluster"
+	"github.com/lacewingsaddle/lacewingsaddle/directory"
 )
 
 // Requests that wait for room at their key's owner are refused at once, as not run, when
@@ -91,6 +97,30 @@
 	})
 }
 
+// A request that was shed by as many full servers as it may be sent to was refused until
+// the end of their pauses, although another server had room for the caller's next try.
+func TestRefusalBySomeFullServersIsShort(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		full := func() *scripted { return &scripted{status: 503, lines: "Retry-After: 60\r\n"} }
+		a := b.watch(map[string]*scripted{"o1": full(), "o2": full(), "o3": sound()})
+		b.control.change(func(v *cluster.View) {
+			o3 := directory.Server{Holder: holder("o3"), Service: "orders", Address: "o3", Slots: 3, State: directory.Draining}
+			v.Servers = &directory.Snapshot{Servers: slices.Insert(slices.Clone(v.Servers.Servers), 2, o3)}
+		})
+		dials := 0
+		b.gateway.servers.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials == 2 {
+				b.list(map[string]directory.State{"o3": directory.Ready})
+			}
+			return b.dial(ctx, network, addr)
+		}
+		_, retry := b.refusedIn(t, "/order/1", "first")
+		require.Equal(t, 2, a.count("o1")+a.count("o2"), "the route allows two servers")
+		require.Less(t, retry, time.Second)
+		require.Equal(t, "o3", b.send("POST", "/order/1", "second", "x").Body.String())
+	})
+}
+
 // Requests for the keys of a full server are refused at once with a Retry-After that is no
 // shorter than the rest of its pause, the one that it answered included. They are served
 // again after the pause.
