--- a/cluster/serverwatch.go
+++ b/cluster/serverwatch.go
@@ -43,7 +43,11 @@
 		}
 		epoch := c.leadingEpoch()
 		if !w.loaded {
-			w.snapshot, _ = query(c.ctx, c, func() *directory.Snapshot { return c.directory })
+			known, ok := query(c.ctx, c, func() *directory.Snapshot { return c.directory })
+			if !ok {
+				continue // the cluster stops
+			}
+			w.snapshot = known
 		}
 		if epoch != 0 {
 			w.snapshot = w.snapshot.WithEpoch(epoch)
@@ -65,6 +69,7 @@
 	}
 }
 
+// readServers reads what has changed in the servers' entries and updates w.
 func (c *Cluster) readServers(w *serverWatch) error {
 	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
 	defer cancel()
@@ -94,7 +99,9 @@
 	return nil
 }
 
-func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) ([]directory.Change, uint64, bool, error) {
+// fetchServers returns the changes since the last read and the offset after them. full
+// is set if they are all entries instead.
+func (c *Cluster) fetchServers(ctx context.Context, w *serverWatch) (changes []directory.Change, next uint64, full bool, err error) {
 	if w.loaded {
 		changes, next, err := c.store.ReadServers(ctx, w.snapshot.Next)
 		if err == nil || fault.KindOf(err) != fault.LogGap {
@@ -138,6 +145,7 @@
 	return out
 }
 
+// dropLapsed removes the entries that were not written again in the grace period.
 func (w *serverWatch) dropLapsed() {
 	var gone []directory.Change
 	for id := range w.lapsed {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -22,10 +20,11 @@
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/gateway"
 	"github.com/lacewingsaddle/lacewingsaddle/hostlink"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/incarnation"
+	"github.com/lacewingsaddle/lacewingsaddle/routetable"
 )
 
 const (
-	incarnationBytes = 6
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// maxConfigWait is how long callers' connections wait for the first
@@ -38,37 +37,6 @@
 	defaultIdleTimeout   = 15 * time.Second
 )
 
-// Options configure a Host.
-type Options struct {
-	Host      string
-	Traffic   string // listen addresses for callers, readiness checks, peers and metrics
-	Readiness string
-	Peer      string
-	Metrics   string
-	Seeds     []string      // peer addresses to contact while the store is unavailable
-	CPU       float64       // share of a core; 0 means unknown
-	LinkMbps  float64       // 0 means unknown
-	StopGrace time.Duration // from the stop signal (SIGTERM) to the kill
-	HoldMax   time.Duration // longest grant that backend servers accept
-	Gateway   gateway.Config
-	// DroppedLines returns the number of log lines that could not be written. It may
-	// be nil.
-	DroppedLines func() int64
-}
-
-// A host below either minimum becomes the assigner only if no other host does,
-// because the assigner communicates with every host and every backend server.
-const (
-	minAssignerCPU      = 0.25 // share of a core
-	minAssignerLinkMbps = 50.0 // Mbit/s
-)
-
-// belowAssignerMinimum reports whether the host is a candidate for assigner only if
-// there is no other. An unknown CPU share or link speed is not below the minimum.
-func (o Options) belowAssignerMinimum() bool {
-	return o.CPU > 0 && o.CPU < minAssignerCPU || o.LinkMbps > 0 && o.LinkMbps < minAssignerLinkMbps
-}
-
 // Host is a running entry host.
 type Host struct {
 	opts        Options
@@ -95,21 +63,24 @@
 }
 
 // New returns a host that is not started.
-func New(opts Options, store cluster.Store, backends cluster.Backends, logger *zap.Logger) (*Host, error) {
-	b := make([]byte, incarnationBytes)
-	if _, err := rand.Read(b); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "generate the host's incarnation")
-	}
-	self := assigner.Host{Name: opts.Host, Incarnation: hex.EncodeToString(b), Peer: opts.Peer}
+func New(opts Options, store cluster.Store, backends cluster.Backends, logger *zap.Logger) *Host {
+	self := assigner.Host{Name: opts.Host, Incarnation: incarnation.NewID(), Peer: opts.Peer}
 	logger = logger.With(zap.String("host", opts.Host))
-	c := cluster.New(cluster.Config{Self: self, HoldMax: opts.HoldMax, Seeds: opts.Seeds, Small: opts.belowAssignerMinimum()}, store, backends, hostlink.NewPool(), logger)
+	c := cluster.New(opts.clusterConfig(self), store, backends, hostlink.NewPool(), logger)
 	g := gateway.New(opts.Gateway, c, logger)
-	h := &Host{opts: opts, logger: logger.Named("edge"), incarnation: self.Incarnation, cluster: c, gateway: g, stopping: make(chan struct{})}
+	h := &Host{
+		opts:        opts,
+		logger:      logger.Named("edge"),
+		incarnation: self.Incarnation,
+		cluster:     c,
+		gateway:     g,
+		stopping:    make(chan struct{}),
+	}
 	h.callers = newCallerServer(g, g, h.logEvent)
 	h.callers.server.HTTP.ErrorLog = zap.NewStdLog(logger.Named("http"))
 	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	h.metrics = &http.Server{Handler: http.HandlerFunc(h.serveMetrics), ReadHeaderTimeout: defaultHeaderTimeout}
-	return h, nil
+	return h
 }
 
 // Start joins the cluster and opens the listeners.
@@ -147,6 +118,7 @@
 	return nil
 }
 
+// listen opens a TCP listener.
 func listen(addr string) (net.Listener, error) {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -155,6 +127,7 @@
 	return lis, nil
 }
 
+// serve opens the listener of a server and serves on it until the server is closed.
 func (h *Host) serve(s *http.Server, addr string) error {
 	lis, err := listen(addr)
 	if err != nil {
@@ -185,29 +158,40 @@
 // or with the defaults after maxConfigWait or when the host stops: requests in the
 // listener's backlog are answered then, too.
 func (h *Host) serveTraffic(ctx context.Context, lis net.Listener) {
-	limit := time.NewTimer(maxConfigWait)
-	defer limit.Stop()
 	server := h.callers.server
 	server.HTTP.ReadHeaderTimeout, server.HTTP.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
-	for waiting := true; waiting; {
+	routes, err := h.awaitRoutes(ctx)
+	if err != nil {
+		return // the host has stopped
+	}
+	if routes != nil {
+		server.HTTP.ReadHeaderTimeout = routes.Limits.HeaderTimeout
+		server.HTTP.IdleTimeout = routes.Limits.IdleTimeout
+		server.HTTP.MaxHeaderBytes = routes.Limits.HeaderBytes
+	}
+	h.runServer("serve callers", func() error { return server.Serve(lis) })
+}
+
+// awaitRoutes returns the first configuration, or nil if none is known after
+// maxConfigWait or when the host stops. If ctx ends first, it returns the error of ctx.
+func (h *Host) awaitRoutes(ctx context.Context) (*routetable.Table, error) {
+	limit := time.NewTimer(maxConfigWait)
+	defer limit.Stop()
+	for {
 		v := h.cluster.View()
 		if v.Routes != nil {
-			server.HTTP.ReadHeaderTimeout = v.Routes.Limits.HeaderTimeout
-			server.HTTP.IdleTimeout = v.Routes.Limits.IdleTimeout
-			server.HTTP.MaxHeaderBytes = v.Routes.Limits.HeaderBytes
-			break
+			return v.Routes, nil
 		}
 		select {
 		case <-v.Next:
 		case <-limit.C:
-			waiting = false
+			return nil, nil
 		case <-h.stopping:
-			waiting = false
+			return nil, nil
 		case <-ctx.Done():
-			return
+			return nil, ctx.Err()
 		}
 	}
-	h.runServer("serve callers", func() error { return server.Serve(lis) })
 }
 
 // Reload applies the options that may change while the host runs: the seeds, which
@@ -223,6 +207,7 @@
 	h.logEvent(event.SettingsRejected{Error: err.Error()})
 }
 
+// serveReadiness answers the load balancer's readiness check.
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !h.gateway.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -231,12 +216,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// serveMetrics writes all metrics as text.
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(h.gateway.Metrics.Registry, w)
 	metrics.WriteOnce(h.cluster.Stats().StoreResults, w)
 	h.writeClusterMetrics(w)
 }
 
+// sweep closes idle connections once per sweepInterval until ctx ends.
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -19,8 +17,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/backend"
 	"github.com/lacewingsaddle/lacewingsaddle/claim"
 	"github.com/lacewingsaddle/lacewingsaddle/control"
-	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/httpdrain"
+	"github.com/lacewingsaddle/lacewingsaddle/internal/incarnation"
 	"github.com/lacewingsaddle/lacewingsaddle/ownership"
 	"github.com/lacewingsaddle/lacewingsaddle/peer"
 	"github.com/lacewingsaddle/lacewingsaddle/query"
@@ -31,10 +29,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/tlsconfig"
 )
 
-const (
-	incarnationBytes  = 6
-	readHeaderTimeout = 5 * time.Second
-)
+// readHeaderTimeout applies to requests of operators.
+const readHeaderTimeout = 5 * time.Second
 
 // Ports are an entry host's connections to the network. Programs that embed a
 // host, and tests, may provide their own.
@@ -103,19 +99,41 @@
 	if err != nil {
 		return nil, err
 	}
-	incarnation, err := newIncarnation()
-	if err != nil {
+	self := newMember(h)
+	logger = logger.With(zap.String("host", h.Name))
+	host := &Host{
+		Settings:      h,
+		Backends:      backend.NewSet(ports.BackendDial),
+		Steps:         steps.NewRing(recentRequests),
+		logger:        logger.Named("entry"),
+		peerClient:    peer.NewClient(ports.PeerDial),
+		requestClient: peer.NewRequestClient(ports.PeerDial),
+		listenFunc:    ports.Listen,
+		tlsSource:     tlsSource,
+	}
+	host.Control = control.New(controlConfig(h, self), ports.Log, host.peerClient, logger)
+	host.watcher = newBackendWatcher(h.Name, ports, host.Control, host.Backends, logger)
+	if err := host.assembleRouter(self.ID); err != nil {
 		return nil, err
 	}
-	self := ownership.Member{
-		ID:       ownership.MemberID(h.Name + "/" + incarnation),
+	host.configureServers(routing.NewServer(host.Router))
+	host.mountOperatorAPI(ports.Log)
+	return host, nil
+}
+
+// newMember returns the member that this run of the host's process joins as.
+func newMember(h settings.Host) ownership.Member {
+	return ownership.Member{
+		ID:       ownership.MemberID(h.Name + "/" + incarnation.NewID()),
 		Host:     h.Name,
 		Domain:   h.Domain,
 		PeerAddr: h.Peer,
 	}
-	logger = logger.With(zap.String("host", h.Name))
-	peers := peer.NewClient(ports.PeerDial)
-	cfg := control.Config{
+}
+
+// controlConfig returns the configuration of the control loop.
+func controlConfig(h settings.Host, self ownership.Member) control.Config {
+	return control.Config{
 		Cell:  h.Cell,
 		Seeds: h.Seeds,
 		Machine: ownership.Config{
@@ -125,44 +143,30 @@
 			Margin: ownership.DefaultMargin,
 		},
 	}
-	loop := control.New(cfg, ports.Log, peers, logger)
-	backends := backend.NewSet(ports.BackendDial)
-	watcher := newBackendWatcher(h.Name, ports, loop, backends, logger)
+}
+
+// assembleRouter sets up the way of requests, whether they come from callers or from
+// other hosts.
+func (h *Host) assembleRouter(self ownership.MemberID) error {
 	claims := claim.NewTable()
-	requestClient := peer.NewRequestClient(ports.PeerDial)
-	coordinator := claim.NewCoordinator(self.ID, claims, requestClient)
-	recent := steps.NewRing(recentRequests)
-	router := routing.New(routing.Deps{
-		Steps:    recent,
-		Source:   loop,
-		Backends: backends,
-		Peers:    requestClient,
-		Claims:   coordinator,
-		Domain:   h.Domain,
-		HotKeys:  watcher.keyCounter,
+	h.claimCoordinator = claim.NewCoordinator(self, claims, h.requestClient)
+	h.Router = routing.New(routing.Deps{
+		Steps:    h.Steps,
+		Source:   h.Control,
+		Backends: h.Backends,
+		Peers:    h.requestClient,
+		Claims:   h.claimCoordinator,
+		Domain:   h.Settings.Domain,
+		HotKeys:  h.watcher.keyCounter,
 	})
-	loop.AddRequestHolder(router.InFlight())
-	server, err := peer.NewServer(loop, peer.RequestService(router.ForwardedHandler(), claims))
+	h.Control.AddRequestHolder(h.Router.InFlight())
+	requests := peer.RequestService(h.Router.ForwardedHandler(), claims)
+	server, err := peer.NewServer(h.Control, requests)
 	if err != nil {
-		return nil, err
-	}
-	host := &Host{
-		Settings:         h,
-		Control:          loop,
-		Router:           router,
-		Backends:         backends,
-		Steps:            recent,
-		logger:           logger.Named("entry"),
-		peerClient:       peers,
-		peerServer:       server,
-		requestClient:    requestClient,
-		claimCoordinator: coordinator,
-		watcher:          watcher,
+		return err
 	}
-	host.tlsSource, host.listenFunc = tlsSource, ports.Listen
-	host.configureServers(routing.NewServer(router))
-	host.mountOperatorAPI(ports.Log)
-	return host, nil
+	h.peerServer = server
+	return nil
 }
 
 // configureServers sets up the metrics and the HTTP servers for callers and
@@ -198,14 +202,6 @@
 	return source, nil
 }
 
-func newIncarnation() (string, error) {
-	b := make([]byte, incarnationBytes)
-	if _, err := rand.Read(b); err != nil {
-		return "", fault.Wrap(fault.Internal, err, "generate an incarnation ID")
-	}
-	return hex.EncodeToString(b), nil
-}
-
 func register(lc fx.Lifecycle, h *Host) {
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
 }
