--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -129,7 +129,7 @@
 		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
 	} else {
 		hold := time.Duration(call.HoldMS) * time.Millisecond
-		out.Result, err = c.backends.Grant(ctx, call.Address, call.Range, hold, call.Handover)
+		out.Result, err = c.sendGrant(ctx, call.Address, call.Range, hold, call.Handover)
 	}
 	if err != nil {
 		c.logEvent(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -107,6 +108,8 @@
 	switch {
 	case s != nil:
 		return s, nil
+	case len(o.untried) > 0:
+		return nil, notRun(fault.NotAccepted, "the request was sent to as many backend servers as its route allows", retryAfterShed)
 	case !o.pauseEnd.IsZero():
 		return nil, allFullError(o.pauseEnd)
 	}
@@ -186,7 +189,7 @@
 
 // eligibleOwner returns the server that owns the key according to a view, or nil if there
 // is none that q may be sent to: it then waits for another owner. It returns an error if
-// the owner is full, as no other server can run q.
+// the owner is full, as no other server can run q, or leaves and is the last of its service.
 func (g *Gateway) eligibleOwner(q *request, view *cluster.View) (*server, error) {
 	s := g.ownerIn(q, view)
 	if s == nil {
@@ -196,11 +199,28 @@
 	case eligibility.Full:
 		return nil, ownerFullError(s, v)
 	case eligibility.Leaving:
-		return nil, nil
+		return nil, g.lastServerError(q, view)
 	}
 	return s, nil
 }
 
+// lastServerError refuses a request whose key's owner leaves, if no other server is there
+// that may become the owner. Otherwise it returns nil.
+func (g *Gateway) lastServerError(q *request, view *cluster.View) error {
+	if g.hasStayingServer(q, view) {
+		return nil
+	}
+	return notRun(fault.NoOwner, "the key's owner leaves, and the service has no other backend server", retryAfterDefault)
+}
+
+// hasStayingServer reports whether the directory lists a server of q's service that does
+// not leave.
+func (g *Gateway) hasStayingServer(q *request, view *cluster.View) bool {
+	return slices.ContainsFunc(view.Servers.Servers, func(v directory.Server) bool {
+		return v.Service == q.service.Name && !g.standings.isLeaving(v.Holder)
+	})
+}
+
 // ownerIn returns the server that owns the key according to a view, or nil.
 func (g *Gateway) ownerIn(q *request, view *cluster.View) *server {
 	r := rangeOf(q, view)
@@ -262,6 +282,7 @@
 		err = g.classify(q, a)
 	}
 	s.requestEnded(took, countsAsFailure(a, err))
+	q.delivered = q.delivered || !isUnsent(err)
 	if err != nil {
 		q.mayHaveRun = q.mayHaveRun || mayHaveRun(err)
 		if isRejection(err) {
@@ -285,14 +306,27 @@
 	return fault.Wrap(fault.Timeout, err, "this host stops and the server has not answered")
 }
 
+// isUnsent reports whether no byte of a request reached the server, as its send failed
+// with err.
+func isUnsent(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.Refused, fault.DialFailed, fault.Overloaded, fault.NotSent:
+		return true
+	}
+	return false
+}
+
 // mayHaveRun reports whether the server may have run a request whose send failed
 // with err.
 func mayHaveRun(err error) bool {
-	switch fault.KindOf(err) {
-	case fault.Refused, fault.DialFailed, fault.Overloaded, fault.NotSent, fault.StaleToken, fault.NotAccepted:
+	if isUnsent(err) {
 		return false
 	}
-	return true
+	kind := fault.KindOf(err)
+	return kind != fault.StaleToken && kind != fault.NotAccepted
 }
 
 // countsAsFailure reports whether an outcome counts towards the server's failure rate.
@@ -323,7 +357,7 @@
 		Length:   q.length,
 		Once:     q.atMostOnce(),
 		Keyed:    q.keyed,
-		Retry:    q.sends > 1,
+		Retry:    q.delivered,
 		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,6 +135,55 @@
 	})
 }
 
+// Requests for the keys of a service's only server waited for another owner, which there
+// is none to become, when that server had left.
+func TestKeysOfTheOnlyServerAreRefusedAtOnceWhenItHasLeft(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		s1 := sound()
+		a := b.watch(map[string]*scripted{"s1": s1})
+		b.list(map[string]directory.State{"s2": directory.Draining})
+		s1.set(200, leavingLine)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "first", "x").Body.String())
+		require.Equal(t, "s1", b.send("POST", "/book/1", "still served", "x").Body.String())
+		s1.set(503, leavingLine)
+		took, _ := b.refusedIn(t, "/book/1", "shed")
+		require.Less(t, took, 10*time.Millisecond)
+		require.Equal(t, 3, a.count("s1"))
+		time.Sleep(ownerTime)
+		took, retry := b.refusedIn(t, "/book/1", "late")
+		require.Zero(t, took)
+		require.Less(t, retry, time.Second)
+		require.Equal(t, 3, a.count("s1"))
+
+		b.list(map[string]directory.State{"s2": directory.Ready})
+		took, _ = b.refusedIn(t, "/book/1", "may move")
+		require.Greater(t, took, 100*time.Millisecond, "s2 may become the owner")
+	})
+}
+
+// A request for a key of a leaving server that could not be sent at all, as no connection
+// was opened, was refused as if it were a retry.
+func TestUnsentRequestIsNoRetryAtALeavingOwner(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		dials := 0
+		b.gateway.servers.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials == 2 {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
+			}
+			return b.dial(ctx, network, addr)
+		}
+		s1 := sound()
+		a := b.watch(map[string]*scripted{"s1": s1})
+		s1.set(200, leavingLine)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "first", "x").Body.String())
+		require.Equal(t, "s1", b.send("POST", "/book/1", "unsent", "x").Body.String())
+		require.Equal(t, 2, a.count("s1"))
+		s1.set(503, "")
+		b.refusedIn(t, "/look/1", "shed")
+		require.Equal(t, 3, a.count("s1"), "a request that was sent there is not sent there again")
+	})
+}
+
 // Requests that wait for room at a server that leaves are placed anew.
 func TestQueuedRequestsLeaveWithTheServer(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
@@ -180,6 +230,49 @@
 	})
 }
 
+// follow runs Follow until the returned function is called.
+func (b *testGateway) follow(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); b.gateway.Follow(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+// A host that had no requests for a while counted the drain time from its next request,
+// not from the moment at which it learnt that the server drains.
+func TestDrainTimeCountsFromTheDirectory(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		defer b.follow(t)()
+		a := b.watch(map[string]*scripted{"s1": sound()})
+		b.list(map[string]directory.State{"s1": directory.Draining})
+		time.Sleep(ownerTime - 10*time.Millisecond)
+		require.Equal(t, "s1", b.send("POST", "/book/1", "in time", "x").Body.String())
+		time.Sleep(10 * time.Millisecond)
+		b.refusedIn(t, "/book/1", "late")
+		require.Equal(t, 1, a.count("s1"))
+	})
+}
+
+// Requests that wait for room at a server that drains waited on until another request, or
+// the next sweep, applied the directory.
+func TestWaitingRequestsLeaveADrainingServerAtOnce(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		defer b.follow(t)()
+		a := b.watch(map[string]*scripted{"o1": {status: 200, takes: 250 * time.Millisecond}, "o2": sound()})
+		b.list(map[string]directory.State{"o2": directory.Draining})
+		done := b.occupy("/order/1")
+		served := make(chan string)
+		go func() { served <- b.send("POST", "/order/1", "waits", "x").Body.String() }()
+		synctest.Wait()
+		start := time.Now()
+		b.list(map[string]directory.State{"o1": directory.Draining, "o2": directory.Ready})
+		require.Equal(t, "o2", <-served)
+		require.Less(t, time.Since(start), 50*time.Millisecond)
+		done.Wait()
+		require.Equal(t, minConnections, a.count("o1"), "requests in flight are not cut off")
+	})
+}
+
 // Kept connections to a server that leaves are closed once they are idle.
 func TestConnectionsToLeavingServerAreClosed(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
