--- a/edge/callers.go
+++ b/edge/callers.go
@@ -34,6 +34,8 @@
 	log      func(event.Event)
 }
 
+// newCallerServer returns a server of handler that is not started. r are the requests that
+// the handler has accepted.
 func newCallerServer(handler http.Handler, r requests, log func(event.Event)) *callerServer {
 	return &callerServer{server: httpdrain.New(handler), requests: r, log: log}
 }
@@ -41,9 +43,9 @@
 // stopRun is one planned stop of a callerServer.
 type stopRun struct {
 	*callerServer
-	begin     time.Time // of the stop
-	plan      stopPlan
-	closeIdle bool
+	begin      time.Time // of the stop
+	plan       stopPlan
+	idleClosed bool // idle connections are closed from now on
 }
 
 // stop stops the server as planned. begin is the time of the stop signal.
@@ -58,8 +60,10 @@
 	r.drain()
 }
 
+// spent returns the time since the stop began.
 func (r *stopRun) spent() time.Duration { return time.Since(r.begin) }
 
+// spentMS returns that time in milliseconds.
 func (r *stopRun) spentMS() float64 { return event.Millis(r.spent()) }
 
 // step does what the plan says for this moment, and reports whether the stop ends.
@@ -76,14 +80,16 @@
 	return action.End
 }
 
+// closeIdleConnections closes the connections without a request, and logs the first time.
 func (r *stopRun) closeIdleConnections() {
-	if !r.closeIdle {
-		r.closeIdle = true
+	if !r.idleClosed {
+		r.idleClosed = true
 		r.log(event.IdleClosed{AfterMS: r.spentMS(), Active: r.requests.Active()})
 	}
 	r.server.CloseIdle()
 }
 
+// refuse has new requests refused, and logs the first time.
 func (r *stopRun) refuse() {
 	if r.requests.RejectNew() {
 		r.log(event.RefusalBegun{AfterMS: r.spentMS(), Active: r.requests.Active()})
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -50,6 +50,7 @@
 // http2Start begins the preface of HTTP/2. No method of HTTP/1 begins with it.
 const http2Start = "PRI "
 
+// noteStart keeps the first bytes that are read, which show the protocol.
 func (c *conn) noteStart(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -57,10 +58,14 @@
 	c.start = append(c.start, p[:min(missing, len(p))]...)
 }
 
-func (c *conn) isHTTP2() bool {
+// isHTTP2 reports whether the connection is known to carry HTTP/2. c.mu must be held.
+func (c *conn) isHTTP2() bool { return string(c.start) == http2Start }
+
+// carriesHTTP2 reports whether the connection is known to carry HTTP/2.
+func (c *conn) carriesHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return string(c.start) == http2Start
+	return c.isHTTP2()
 }
 
 // readLast reads the bytes that have arrived, or returns io.EOF.
@@ -141,7 +146,7 @@
 func (c *conn) endIfIdleSince(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.ending || c.since.After(t) || string(c.start) == http2Start {
+	if !c.idle || c.ending || c.since.After(t) || c.isHTTP2() {
 		return
 	}
 	c.ending = true
@@ -154,7 +159,7 @@
 func (c *conn) endBodyIfHandledBefore(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.handled.IsZero() || c.handled.After(t) || string(c.start) == http2Start {
+	if c.handled.IsZero() || c.handled.After(t) || c.isHTTP2() {
 		return
 	}
 	_ = c.Conn.SetReadDeadline(past) // fails only on a closed connection
@@ -167,6 +172,7 @@
 	c.mu.Unlock()
 }
 
+// isEnding reports whether the connection's end was asked for.
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,8 +190,11 @@
 	}
 }
 
+// markIdle records that a response was sent and no byte of a further request was read.
 func (c *conn) markIdle(now time.Time) {
 	c.mu.Lock()
-	c.idle, c.since, c.handled = true, now, time.Time{}
+	c.idle = true
+	c.since = now
+	c.handled = time.Time{}
 	c.mu.Unlock()
 }
--- a/internal/httpdrain/listener.go
+++ b/internal/httpdrain/listener.go
@@ -57,6 +57,8 @@
 	return c, nil
 }
 
+// accept accepts a connection. A closing listener whose time is over goes on as long as
+// its backlog is not empty.
 func (l *listener) accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -91,6 +93,7 @@
 	return err == nil && ready > 0
 }
 
+// isTimeout reports whether err is that of a deadline that has expired.
 func isTimeout(err error) bool {
 	var e net.Error
 	return errors.As(err, &e) && e.Timeout()
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -21,7 +21,8 @@
 	// closed. On a new connection the request follows soon.
 	quietTime = 100 * time.Millisecond
 	// acceptLimit is the time for the backlog, also in a drain that has less.
-	acceptLimit  = 200 * time.Millisecond
+	acceptLimit = 200 * time.Millisecond
+	// pollInterval is the interval at which a drain looks for connections to end.
 	pollInterval = 10 * time.Millisecond
 	// bodyTail is how long net/http may read the rest of the body of a request that its
 	// handler has answered.
@@ -150,6 +151,8 @@
 	return s.HTTP.Close()
 }
 
+// setClosing has no new connections accepted. It returns the listener and what is closed
+// when Serve returns, both nil if Serve was not called.
 func (s *Server) setClosing() (net.Listener, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,12 +187,14 @@
 	}
 }
 
+// isDraining reports whether connections are closed after their next response.
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.draining
 }
 
+// isClosing reports whether no new connections are accepted.
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,13 +206,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.isHTTP2() {
+		if c.carriesHTTP2() {
 			http2++
 		}
 	}
 	return len(s.conns), http2
 }
 
+// add registers an accepted connection.
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
