--- a/assigner/full.go
+++ b/assigner/full.go
@@ -1,7 +1,6 @@
 package assigner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -29,19 +28,17 @@
 // contains reports whether a server is full.
 func (f *fullServers) contains(now Time, h keyrange.Holder) bool { return now < f.until[h] }
 
-// expire removes and returns, in order of their ids, the servers that are no longer full
+// expire removes and returns, sorted, the servers that are no longer full
 // or listed.
 func (f *fullServers) expire(now Time, s *directory.Snapshot) []keyrange.Holder {
 	var out []keyrange.Holder
 	for h, until := range f.until {
-		if v := s.Find(h.ID); now >= until || v == nil || v.Holder != h {
+		if now >= until || !s.Lists(h) {
 			delete(f.until, h)
 			out = append(out, h)
 		}
 	}
-	slices.SortFunc(out, func(a, b keyrange.Holder) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedMS, b.StartedMS))
-	})
+	slices.SortFunc(out, keyrange.Holder.Compare)
 	return out
 }
 
@@ -49,8 +46,7 @@
 // directory lists counts.
 func (m *Machine) addFull(now Time, from string, list []FullServer) {
 	for _, f := range list {
-		v := m.servers.Find(f.Holder.ID)
-		if v == nil || v.Holder != f.Holder {
+		if !m.servers.Lists(f.Holder) {
 			continue
 		}
 		d := time.Duration(f.ForMS) * time.Millisecond
--- a/cluster/full.go
+++ b/cluster/full.go
@@ -44,8 +44,7 @@
 	var out []assigner.FullServer
 	for h, v := range f {
 		left := (v.until - now).Milliseconds()
-		listed := s.Find(h.ID)
-		if left <= 0 || listed == nil || listed.Holder != h {
+		if left <= 0 || !s.Lists(h) {
 			delete(f, h)
 			continue
 		}
@@ -61,8 +60,7 @@
 // AddFull reports that a backend server wants no requests from this host until then. Of
 // servers that this host does not list, nothing is kept.
 func (c *Cluster) AddFull(h keyrange.Holder, until time.Time) {
-	v := c.View().Servers.Find(h.ID)
-	if v == nil || v.Holder != h {
+	if !c.View().Servers.Lists(h) {
 		return
 	}
 	end := c.cfg.Clock() + min(time.Until(until), assigner.MaxFull)
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
@@ -22,7 +21,7 @@
 
 // Contains reports whether a process is known to leave.
 func (l Leaving) Contains(h keyrange.Holder) bool {
-	_, ok := slices.BinarySearchFunc(l.holders, h, compareHolders)
+	_, ok := slices.BinarySearchFunc(l.holders, h, keyrange.Holder.Compare)
 	return ok
 }
 
@@ -30,7 +29,7 @@
 // them are new to it.
 func (l Leaving) With(s *Snapshot, holders []keyrange.Holder) (set Leaving, added []keyrange.Holder) {
 	for _, h := range holders {
-		if s.lists(h) && !l.Contains(h) && !slices.Contains(added, h) {
+		if s.Lists(h) && !l.Contains(h) && !slices.Contains(added, h) {
 			added = append(added, h)
 		}
 	}
@@ -38,13 +37,13 @@
 		return l, nil
 	}
 	all := slices.Concat(l.holders, added)
-	slices.SortFunc(all, compareHolders)
+	slices.SortFunc(all, keyrange.Holder.Compare)
 	return Leaving{all}, added
 }
 
 // ListedIn returns the members that s lists.
 func (l Leaving) ListedIn(s *Snapshot) Leaving {
-	unlisted := func(h keyrange.Holder) bool { return !s.lists(h) }
+	unlisted := func(h keyrange.Holder) bool { return !s.Lists(h) }
 	if !slices.ContainsFunc(l.holders, unlisted) {
 		return l
 	}
@@ -94,12 +93,8 @@
 	return &out
 }
 
-// lists reports whether s lists a process: its id with the same start.
-func (s *Snapshot) lists(h keyrange.Holder) bool {
+// Lists reports whether s lists a process: its id with the same start.
+func (s *Snapshot) Lists(h keyrange.Holder) bool {
 	v := s.Find(h.ID)
 	return v != nil && v.Holder == h
 }
-
-func compareHolders(a, b keyrange.Holder) int {
-	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedMS, b.StartedMS))
-}
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -72,7 +72,7 @@
 		require.Equal(rt, xy.Digest(), yx.Digest())
 		require.Empty(rt, xy.Missing(yx.Holders()))
 		for _, h := range append(x, y...) {
-			require.Equal(rt, s.lists(h), xy.Contains(h))
+			require.Equal(rt, s.Lists(h), xy.Contains(h))
 		}
 		require.Equal(rt, xy, xy.ListedIn(s))
 		require.Empty(rt, xy.ListedIn(&Snapshot{}).Holders())
--- a/eligibility/book.go
+++ b/eligibility/book.go
@@ -9,7 +9,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/directory"
@@ -108,7 +107,7 @@
 
 // Check decides whether a request may be sent to h now.
 //
-// A full server is sent nothing: with many hosts, a single trial of each keeps it full. A
+// A full server is sent nothing: with many hosts, a single request of each keeps it full. A
 // leaving server is sent only first attempts of requests for keys that it owns, until the
 // share of the drain time is over in which another server becomes their owner. A server
 // that is both is sent nothing, and counts as leaving: its keys move and it takes no other
@@ -137,7 +136,7 @@
 	return s != nil && s.isLeaving()
 }
 
-// LeavingByAnswer returns the servers that said in an answer that they leave, sorted by id.
+// LeavingByAnswer returns the servers that said in an answer that they leave, sorted.
 func (b *Book) LeavingByAnswer() []keyrange.Holder {
 	var out []keyrange.Holder
 	for h, s := range b.states {
@@ -145,7 +144,7 @@
 			out = append(out, h)
 		}
 	}
-	slices.SortFunc(out, func(a, b keyrange.Holder) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, keyrange.Holder.Compare)
 	return out
 }
 
@@ -242,6 +241,7 @@
 	return first
 }
 
+// state returns the state of h, and creates it if needed.
 func (b *Book) state(h keyrange.Holder) *state {
 	s := b.states[h]
 	if s == nil {
@@ -265,12 +265,14 @@
 	return b.leavingChange(h, s, Begun)
 }
 
+// endLeaving ends the judgement that h leaves.
 func (b *Book) endLeaving(h keyrange.Holder, s *state) Change {
 	c := b.leavingChange(h, s, Ended)
 	s.source, s.leavingSince = "", time.Time{}
 	return c
 }
 
+// leavingChange returns the change of the judgement that h leaves.
 func (b *Book) leavingChange(h keyrange.Holder, s *state, p Phase) Change {
 	return Change{Holder: h, Standing: Leaving, Source: s.source, Phase: p, Since: s.leavingSince, Until: b.ownerUntil(s)}
 }
@@ -313,23 +315,20 @@
 	return append(out, s.pauseChange(h, phase))
 }
 
+// endPause ends the judgement that h is full.
 func (s *state) endPause(h keyrange.Holder) Change {
 	c := s.pauseChange(h, Ended)
 	s.fullSince, s.fullUntil = time.Time{}, time.Time{}
 	return c
 }
 
+// pauseChange returns the change of the judgement that h is full.
 func (s *state) pauseChange(h keyrange.Holder, p Phase) Change {
 	return Change{Holder: h, Standing: Full, Source: FromAnswer, Phase: p, Since: s.fullSince, Until: s.fullUntil}
 }
 
 // sorted orders changes by server, as a map has no order.
 func sorted(list []Change) []Change {
-	slices.SortStableFunc(list, func(a, b Change) int {
-		if n := strings.Compare(a.Holder.ID, b.Holder.ID); n != 0 {
-			return n
-		}
-		return int(a.Holder.StartedMS - b.Holder.StartedMS)
-	})
+	slices.SortStableFunc(list, func(a, b Change) int { return a.Holder.Compare(b.Holder) })
 	return list
 }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -152,7 +152,7 @@
 		if !s.guard(h).KeepsIdle() {
 			v.conns.Close()
 		}
-		if l := listed.Find(h.ID); l != nil && l.Holder == h {
+		if listed.Lists(h) {
 			continue
 		}
 		v.conns.Close()
--- a/keyrange/keyrange.go
+++ b/keyrange/keyrange.go
@@ -5,7 +5,10 @@
 // each range has one owner and one fencing token.
 package keyrange
 
-import "sort"
+import (
+	"cmp"
+	"sort"
+)
 
 // Key is the number by which a sharded service is partitioned.
 type Key uint16
@@ -26,6 +29,11 @@
 	StartedMS int64  `json:"born"` // start time in Unix milliseconds
 }
 
+// Compare orders holders by id, then by start time. It returns -1, 0 or 1.
+func (h Holder) Compare(o Holder) int {
+	return cmp.Or(cmp.Compare(h.ID, o.ID), cmp.Compare(h.StartedMS, o.StartedMS))
+}
+
 // Range is a contiguous range of keys with one owner.
 type Range struct {
 	From  Key    `json:"from"`
