--- a/gateway/active.go
+++ b/gateway/active.go
@@ -18,12 +18,14 @@
 	return &activeRequests{all: map[*request]struct{}{}}
 }
 
+// add adds a request that has arrived.
 func (a *activeRequests) add(q *request) {
 	a.mu.Lock()
 	a.all[q] = struct{}{}
 	a.mu.Unlock()
 }
 
+// remove removes a request that was answered or refused.
 func (a *activeRequests) remove(q *request) {
 	a.mu.Lock()
 	delete(a.all, q)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -141,6 +141,7 @@
 	return o
 }
 
+// add adds a server that the request may be sent to.
 func (o *options) add(s *server, tried bool) {
 	if tried {
 		o.tried = append(o.tried, s)
@@ -149,6 +150,7 @@
 	}
 }
 
+// addPause adds the end of a full server's pause.
 func (o *options) addPause(end time.Time) {
 	if o.pauseEnd.IsZero() || end.Before(o.pauseEnd) {
 		o.pauseEnd = end
--- a/gateway/judge.go
+++ b/gateway/judge.go
@@ -88,10 +88,9 @@
 	g.updateStandingGauges()
 }
 
+// updateStandingGauges sets the gauges of the servers that leave and that are full.
 func (g *Gateway) updateStandingGauges() {
-	g.standings.mu.Lock()
-	leaving, full := g.standings.book.Count(time.Now())
-	g.standings.mu.Unlock()
+	leaving, full := g.standings.count()
 	metrics.GetOrRegisterGauge("servers_leaving", g.Metrics.Registry).Update(int64(leaving))
 	metrics.GetOrRegisterGauge("servers_full", g.Metrics.Registry).Update(int64(full))
 }
@@ -111,10 +110,7 @@
 // recordUnreadable logs an unreadable header, once for each server.
 func (g *Gateway) recordUnreadable(h keyrange.Holder, header string, err error) {
 	g.Metrics.count("header_unreadable." + header)
-	g.standings.mu.Lock()
-	first := g.standings.book.ReportUnreadable(h)
-	g.standings.mu.Unlock()
-	if first {
+	if g.standings.reportUnreadable(h) {
 		g.writeEvent(event.HeaderUnreadable{Server: h.ID, StartedMS: h.StartedMS, Header: header, Error: err.Error()})
 	}
 }
--- a/gateway/standings.go
+++ b/gateway/standings.go
@@ -29,6 +29,8 @@
 	reported map[keyrange.Holder]time.Time
 }
 
+// newStandings returns standings without judgements. drain is the drain time; 0 means
+// defaultDrain.
 func newStandings(drain time.Duration) *standings {
 	if drain <= 0 {
 		drain = defaultDrain
@@ -50,6 +52,7 @@
 	return s.book.IsLeaving(h)
 }
 
+// answered applies what an answer of h says.
 func (s *standings) answered(h keyrange.Holder, a eligibility.Signal) []eligibility.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,6 +63,7 @@
 	return s.book.Answered(h, now, a)
 }
 
+// expire ends the judgements whose time is over.
 func (s *standings) expire() []eligibility.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,6 +104,20 @@
 	return out
 }
 
+// count returns the numbers of servers that leave and that are full.
+func (s *standings) count() (leaving, full int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Count(time.Now())
+}
+
+// reportUnreadable reports whether to log that a header of h's answer is unreadable.
+func (s *standings) reportUnreadable(h keyrange.Holder) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.ReportUnreadable(h)
+}
+
 // listsReady reports whether the directory lists h as ready. s.mu must be held.
 func (s *standings) listsReady(h keyrange.Holder) bool {
 	if s.listed == nil {
