--- a/upstream/body.go
+++ b/upstream/body.go
@@ -19,14 +19,14 @@
 // readBody reads the response body, or the part of a long one that may be buffered.
 // It returns the connection to the idle connections when the body is complete.
 func (x *exchange) readBody(resp *http.Response) (*Response, error) {
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, buffers: x.server.buffers}
 	if x.req.Method == http.MethodHead {
 		x.finish(resp)
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, buffers: x.server.buffers}, nil
+		return out, nil
 	}
 	if resp.ContentLength > maxBodyBytes {
 		return nil, fault.Newf(fault.AnswerTooLarge, "the response body has %d bytes", resp.ContentLength)
 	}
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, buffers: x.server.buffers}
 	if endsWithConnection(resp) {
 		resp.Body = &bodyUntilClose{resp.Body, x}
 	}
--- a/upstream/splice.go
+++ b/upstream/splice.go
@@ -63,6 +63,7 @@
 	return len(text) == length || text[length] == ' '
 }
 
+// isDigits reports whether text consists of digits only.
 func isDigits(text string) bool {
 	return strings.Trim(text, "0123456789") == ""
 }
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -98,7 +98,9 @@
 func (x *exchange) head() []byte {
 	r := x.req
 	b := make([]byte, 0, usualHeadBytes+len(r.Body))
-	b = append(append(append(b, r.Method...), ' '), r.URI...)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.URI...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = appendLine(b, "Host", r.Host)
 	for name, values := range r.Header {
@@ -118,9 +120,12 @@
 	return append(b, '\r', '\n')
 }
 
+// appendLine appends a header line.
 func appendLine(b []byte, name, value string) []byte {
-	b = append(append(b, name...), ':', ' ')
-	return append(append(b, value...), '\r', '\n')
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
 }
 
 // bodyWritten reports whether the whole request body was sent. If a server answered
