--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -84,7 +84,7 @@
 	if m.Leaving {
 		n.marked[id] = append(n.marked[id], backend)
 	}
-	if m.RetryAfter > budgetReaction && n.w.unimpaired(now, a.host.name, s.id) {
+	if m.RetryAfter > budgetReaction && n.w.faultFree(now, a.host.name, s.id) {
 		l := link{backend, a.process}
 		n.quiet[l] = append(n.quiet[l], &quietPeriod{from: now.Add(budgetReaction), to: now.Add(m.RetryAfter)})
 	}
@@ -108,7 +108,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a, ok := n.senderOf(id)
-	if !ok || !n.w.unimpaired(now, a.host.name, s.id) {
+	if !ok || !n.w.faultFree(now, a.host.name, s.id) {
 		return
 	}
 	l := link{backend, a.process}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -45,6 +45,7 @@
 	return c
 }
 
+// newDirectClient returns the i-th client, which connects to hosts themselves.
 func newDirectClient(w *world, i int) *client {
 	return &client{
 		w:            w,
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,10 @@
 	longestFault  = 4 * time.Second
 	// drainServeTime is how long a draining server goes on serving.
 	drainServeTime = drainTime + time.Second
+	// targets is the number of values from which a host or server is drawn, by remainder.
+	targets = 1 << 16
+	// choiceStep divides such a value for a choice beside that of the host or server.
+	choiceStep = 7
 	// maxDrainNotice bounds how long a server that leaves is still listed as ready.
 	maxDrainNotice = 3 * time.Second
 )
@@ -58,7 +62,7 @@
 	maxInterval := maxFaultIntervals[w.cfg.Seed%uint64(len(maxFaultIntervals))]
 	for end := time.Now().Add(w.cfg.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		a := w.randomFaultKind()
-		target := w.rand.IntN(1 << 16)
+		target := w.rand.IntN(targets)
 		d := shortestFault + time.Duration(w.rand.Int64N(int64(longestFault-shortestFault)))
 		pause := time.Duration(w.rand.Int64N(int64(maxInterval)))
 		lock := locks[a.name]
@@ -187,23 +191,23 @@
 
 func disturbCallers(w *world, target int, d time.Duration) {
 	h := w.host(target)
-	w.disturbConnections(h.callerProxy, "callers of "+h.name, h.name, target/7, d)
+	w.disturbConnections(h.callerProxy, "callers of "+h.name, h.name, target/choiceStep, d)
 }
 
 func disturbStore(w *world, target int, d time.Duration) {
 	h := w.host(target)
-	w.disturbConnections(h.storeProxy, "store of "+h.name, h.name, target/7, d)
+	w.disturbConnections(h.storeProxy, "store of "+h.name, h.name, target/choiceStep, d)
 }
 
 func disturbServer(w *world, target int, d time.Duration) {
 	s := w.server(target)
-	w.disturbConnections(s.proxy, "callers of "+s.id, s.id, target/7, d)
+	w.disturbConnections(s.proxy, "callers of "+s.id, s.id, target/choiceStep, d)
 }
 
 // misbehave makes a backend server answer the requests that it runs in a wrong way.
 func misbehave(w *world, target int, d time.Duration) {
 	s := w.server(target)
-	m := platformtest.Misbehaviours[(target/7)%len(platformtest.Misbehaviours)]
+	m := platformtest.Misbehaviours[(target/choiceStep)%len(platformtest.Misbehaviours)]
 	backend := s.currentBackend()
 	if backend == nil {
 		return
@@ -261,7 +265,7 @@
 	if backend == nil {
 		return
 	}
-	form := platformtest.RetryAfterForms[(target/7)%len(platformtest.RetryAfterForms)]
+	form := platformtest.RetryAfterForms[(target/choiceStep)%len(platformtest.RetryAfterForms)]
 	w.logEvent("%s is full for %v and tells %v", s.id, d.Round(time.Millisecond), form)
 	backend.SetFull(d, form)
 	time.Sleep(d)
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -151,7 +151,7 @@
 	select {
 	case <-h.done():
 	case <-time.After(graceTime + time.Second):
-		if h.w.unimpaired(begin.Add(undisturbedPeriod), h.name) {
+		if h.w.faultFree(begin.Add(undisturbedPeriod), h.name) {
 			h.w.addViolation("LOST", "%s was still running %v after SIGTERM", h.name, graceTime+time.Second)
 		}
 		h.kill()
@@ -185,6 +185,7 @@
 	return h.stops[launch]
 }
 
+// processName names a process of a host by its number.
 func processName(host string, launch int64) string { return fmt.Sprint(host, "/", launch) }
 
 // launchedSince reports whether the process was started after t.
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -23,8 +23,8 @@
 	attempt  *attempt
 	closedAt time.Time // when its connection was closed
 	err      error
-	// impaired holds the servers that a fault disturbed when the connection was closed.
-	impaired map[*server]bool
+	// faulty holds the servers of which a fault was in force when the connection was closed.
+	faulty map[*server]bool
 }
 
 // addUnanswered records a request whose connection was closed without a complete
@@ -35,13 +35,13 @@
 	if errors.As(err, &timeout) && timeout.Timeout() || now.Sub(a.sentAt) >= callTimeout {
 		return
 	}
-	if !l.w.unimpaired(now, a.host.name) {
+	if !l.w.faultFree(now, a.host.name) {
 		return
 	}
-	u := unanswered{attempt: a, closedAt: now, err: err, impaired: map[*server]bool{}}
+	u := unanswered{attempt: a, closedAt: now, err: err, faulty: map[*server]bool{}}
 	for _, s := range l.w.servers {
-		if !l.w.unimpaired(now, s.id) {
-			u.impaired[s] = true
+		if !l.w.faultFree(now, s.id) {
+			u.faulty[s] = true
 		}
 	}
 	l.mu.Lock()
@@ -81,9 +81,9 @@
 // reached none may have been sent to any server whose connections are disturbed.
 func (u unanswered) excused(reached []*server) bool {
 	if len(reached) == 0 {
-		return len(u.impaired) > 0
+		return len(u.faulty) > 0
 	}
-	return slices.ContainsFunc(reached, func(s *server) bool { return u.impaired[s] })
+	return slices.ContainsFunc(reached, func(s *server) bool { return u.faulty[s] })
 }
 
 // accepted reports whether the host accepted a new connection for the request and closed
@@ -108,6 +108,7 @@
 	return max(u.closedAt.Sub(time.Unix(0, wrote)), 1)
 }
 
+// describe tells when and where the request was sent, and how its connection ended.
 func (u unanswered) describe(w *world, reached []*server) string {
 	a := u.attempt
 	var out strings.Builder
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -26,6 +26,8 @@
 	maxConfigs = 4
 	// seriesPause bounds the pause between the signals or configurations of a series.
 	seriesPause = 100 * time.Millisecond
+	// twiceIn is the number of planned stops of which one is followed by another stop.
+	twiceIn = 3
 	// plannedPause bounds the pause between two pieces of planned work of a kind.
 	plannedPause = 2 * time.Second
 )
@@ -52,10 +54,12 @@
 	downTime time.Duration // until the restart
 }
 
+// randomDuration returns a random duration below limit.
 func randomDuration(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
 }
 
+// newStopPlan returns a random plan.
 func newStopPlan(r *rand.Rand) stopPlan {
 	p := stopPlan{
 		callers:  keptCallers[r.IntN(len(keptCallers))],
@@ -81,9 +85,9 @@
 var plannedKinds = []func(w *world, r *rand.Rand){
 	rollingStop,
 	hangupSeries,
-	func(w *world, r *rand.Rand) { serverDrain(w, r.IntN(1<<16), randomDuration(r, longestFault)) },
+	func(w *world, r *rand.Rand) { serverDrain(w, r.IntN(targets), randomDuration(r, longestFault)) },
 	func(w *world, r *rand.Rand) {
-		serverFull(w, r.IntN(1<<16), shortestFault+randomDuration(r, longestFault))
+		serverFull(w, r.IntN(targets), shortestFault+randomDuration(r, longestFault))
 	},
 	configSeries,
 }
@@ -116,7 +120,8 @@
 	var running sync.WaitGroup
 	for _, i := range r.Perm(len(w.hosts)) {
 		plans := []stopPlan{newStopPlan(r)}
-		if again := newStopPlan(r); r.IntN(3) == 0 {
+		again := newStopPlan(r)
+		if r.IntN(twiceIn) == 0 {
 			plans = append(plans, again)
 		}
 		h := w.hosts[i]
@@ -187,7 +192,7 @@
 
 // hangupSeries sends SIGHUP to a host several times in a row.
 func hangupSeries(w *world, r *rand.Rand) {
-	target := r.IntN(1 << 16)
+	target := r.IntN(targets)
 	for range 1 + r.IntN(maxSignals) {
 		hangup(w, target, 0)
 		time.Sleep(randomDuration(r, seriesPause))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -64,6 +64,8 @@
 	// recoveryTimeout after the last fault.
 	startTimeout    = 30 * time.Second
 	recoveryTimeout = 15 * time.Second
+	// servePollInterval is the interval at which a host is asked whether it serves.
+	servePollInterval = 50 * time.Millisecond
 )
 
 // Violation is a guarantee that did not hold.
@@ -104,22 +106,22 @@
 
 	mu     sync.Mutex
 	report Report
-	// faultUntil is when the last fault of each subject ends or ended. A subject is a
-	// host's name, a server's id, or "store".
+	// disturbedUntil is when the last fault or planned work of each subject ends or ended. A
+	// subject is a host's name, a server's id, or "store".
+	disturbedUntil map[string]time.Time
+	// faultUntil is the same for faults alone.
 	faultUntil map[string]time.Time
-	// impairedUntil is the same without planned work.
-	impairedUntil map[string]time.Time
 }
 
 // Run runs one seed. An error means that the run itself could not be carried out.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	w := &world{
-		cfg:           cfg,
-		start:         time.Now(),
-		rand:          newRand(cfg.Seed),
-		store:         platformtest.NewStore(),
-		faultUntil:    map[string]time.Time{},
-		impairedUntil: map[string]time.Time{},
+		cfg:            cfg,
+		start:          time.Now(),
+		rand:           newRand(cfg.Seed),
+		store:          platformtest.NewStore(),
+		disturbedUntil: map[string]time.Time{},
+		faultUntil:     map[string]time.Time{},
 	}
 	w.report.Seed = cfg.Seed
 	w.ledger = newLedger(w)
@@ -193,11 +195,17 @@
 	var running sync.WaitGroup
 	if w.cfg.Work != Planned {
 		running.Add(1)
-		go func() { defer running.Done(); w.runFaults(ctx) }()
+		go func() {
+			defer running.Done()
+			w.runFaults(ctx)
+		}()
 	}
 	if w.cfg.Work == Planned || w.cfg.Work == Both {
 		running.Add(1)
-		go func() { defer running.Done(); w.runPlannedWork(ctx) }()
+		go func() {
+			defer running.Done()
+			w.runPlannedWork(ctx)
+		}()
 	}
 	running.Wait()
 }
@@ -228,12 +236,14 @@
 	w.addViolationAt(time.Now(), rule, format, args...)
 }
 
+// addViolationAt adds a violation that was seen at t.
 func (w *world) addViolationAt(t time.Time, rule, format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report.Violations = append(w.report.Violations, Violation{Rule: rule, Detail: fmt.Sprintf(format, args...), At: t.Sub(w.start)})
 }
 
+// addCrossed adds a request whose bytes crossed the close of its connection.
 func (w *world) addCrossed(t time.Time, detail string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -246,17 +256,18 @@
 	w.recordPlanned(subject, until)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if until.After(w.impairedUntil[subject]) {
-		w.impairedUntil[subject] = until
+	if until.After(w.faultUntil[subject]) {
+		w.faultUntil[subject] = until
 	}
 }
 
-// recordPlanned does the same for planned work.
+// recordPlanned records that planned work on a subject goes on until the given time, which
+// is now for work that has just ended.
 func (w *world) recordPlanned(subject string, until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if until.After(w.faultUntil[subject]) {
-		w.faultUntil[subject] = until
+	if until.After(w.disturbedUntil[subject]) {
+		w.disturbedUntil[subject] = until
 	}
 }
 
@@ -265,17 +276,18 @@
 func (w *world) undisturbed(t time.Time, subjects ...string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return endedBefore(t.Add(-undisturbedPeriod), w.faultUntil, subjects)
+	return endedBefore(t.Add(-undisturbedPeriod), w.disturbedUntil, subjects)
 }
 
-// unimpaired reports whether no fault of the subjects was in force in the
+// faultFree reports whether no fault of the subjects was in force in the
 // undisturbedPeriod before t. Planned work is no fault.
-func (w *world) unimpaired(t time.Time, subjects ...string) bool {
+func (w *world) faultFree(t time.Time, subjects ...string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return endedBefore(t.Add(-undisturbedPeriod), w.impairedUntil, subjects)
+	return endedBefore(t.Add(-undisturbedPeriod), w.faultUntil, subjects)
 }
 
+// endedBefore reports whether what disturbed the subjects had ended at t.
 func endedBefore(t time.Time, until map[string]time.Time, subjects []string) bool {
 	for _, s := range subjects {
 		if until[s].After(t) {
@@ -303,19 +315,24 @@
 	var running sync.WaitGroup
 	for i, h := range w.hosts {
 		running.Add(1)
-		go func() { defer running.Done(); unserved[i] = w.waitUntilHostServes(ctx, h, deadline) }()
+		go func() {
+			defer running.Done()
+			unserved[i] = w.waitUntilHostServes(ctx, h, deadline)
+		}()
 	}
 	running.Wait()
 	return strings.Join(slices.DeleteFunc(unserved, func(s string) bool { return s == "" }), "; ")
 }
 
+// waitUntilHostServes waits until a host serves each probed key under the newest
+// configuration. It returns what it does not serve, or "".
 func (w *world) waitUntilHostServes(ctx context.Context, h *host, deadline time.Time) string {
 	for _, key := range probedKeys {
 		for !h.serves(ctx, w.operator.newestVersion(), key) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return fmt.Sprintf("%s does not serve key %d", h.name, key)
 			}
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(servePollInterval)
 		}
 	}
 	return ""
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,10 +24,10 @@
 // newWorld returns a world without processes, for testing the checks.
 func newWorld() *world {
 	w := &world{
-		cfg:           Config{Seed: 1},
-		start:         time.Now(),
-		faultUntil:    map[string]time.Time{},
-		impairedUntil: map[string]time.Time{},
+		cfg:            Config{Seed: 1},
+		start:          time.Now(),
+		disturbedUntil: map[string]time.Time{},
+		faultUntil:     map[string]time.Time{},
 	}
 	w.ledger = newLedger(w)
 	w.announcements = newAnnouncements(w)
@@ -128,7 +128,7 @@
 	w.recordFault("store", time.Now())
 	require.Equal(t, 200, call(backend, "2", 7))
 	require.Empty(t, rules(w), "the store had a fault a moment ago")
-	w.faultUntil["store"] = time.Now().Add(-time.Minute)
+	w.disturbedUntil["store"] = time.Now().Add(-time.Minute)
 	require.Equal(t, 200, call(backend, "3", 7))
 	require.Equal(t, []string{"DRAIN"}, rules(w))
 }
