--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -48,7 +48,7 @@
 
 // nextSync returns a sync request that carries the report collected so far.
 func (c *Cluster) nextSync() outgoingSync {
-	report := c.drainReport()
+	report := c.takeReport()
 	q, _ := query(c.ctx, c, func() outgoingSync { return c.buildSync(report) })
 	return q
 }
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -26,7 +26,7 @@
 func (c *Cluster) relay(call hostlink.RelayRequest, direct assigner.CallResult, until time.Duration) (assigner.CallResult, string) {
 	result := direct
 	call.From = c.cfg.Self
-	call.Epoch, _ = query(c.ctx, c, c.machine.Epoch)
+	call.Epoch, _ = query(c.ctx, c, c.machine.Epoch) // 0 if the cluster stops
 	for _, h := range c.randomHosts(maxRelays) {
 		left := until - c.cfg.Clock()
 		if left <= 0 {
--- a/cluster/report.go
+++ b/cluster/report.go
@@ -7,7 +7,8 @@
 	"github.com/lacewingsaddle/lacewingsaddle/keyrange"
 )
 
-// maxReportEntries bounds the keys and the latencies in one report.
+// maxReportEntries bounds the keys, the latencies and the full servers in one report, each
+// by itself.
 const maxReportEntries = 2000
 
 // AddLoad counts a request for a key in the next report.
@@ -75,8 +76,8 @@
 	}
 }
 
-// drainReport returns the report collected so far and begins a new one.
-func (c *Cluster) drainReport() assigner.Report {
+// takeReport returns the report collected so far and begins a new one.
+func (c *Cluster) takeReport() assigner.Report {
 	now := c.cfg.Clock() // before the lock, so that a host paused while reading the clock does not hold it
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,7 +25,7 @@
 		"entry.requests":           h.requests.Load,
 	}
 	for name, read := range gauges {
-		_ = h.Metrics.Register(name, metrics.NewFunctionalGauge(read))
+		_ = h.Metrics.Register(name, metrics.NewFunctionalGauge(read)) // fails only for a name that is taken
 	}
 }
 
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -87,7 +87,10 @@
 	}
 	if winner.reply != nil && !winner.reply.buffered() {
 		done := winner.reply.done
-		winner.reply.done = func() { done(); h.cancels[winner.n]() }
+		winner.reply.done = func() {
+			done()
+			h.cancels[winner.n]()
+		}
 	}
 	if pending == 0 {
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -75,6 +75,7 @@
 	At     time.Duration // since the start of the run
 }
 
+// String implements fmt.Stringer.
 func (v Violation) String() string {
 	return fmt.Sprintf("%7.3f s  %s: %s", v.At.Seconds(), v.Rule, v.Detail)
 }
@@ -177,12 +178,21 @@
 	for i := range w.cfg.Clients {
 		running.Add(1)
 		c := newClient(w, i)
-		go func() { defer running.Done(); c.run(ctx) }()
+		go func() {
+			defer running.Done()
+			c.run(ctx)
+		}()
 	}
 	running.Add(1)
-	go func() { defer running.Done(); w.operator.run(ctx) }()
+	go func() {
+		defer running.Done()
+		w.operator.run(ctx)
+	}()
 	running.Add(1)
-	go func() { defer running.Done(); w.runHeartbeats(ctx) }()
+	go func() {
+		defer running.Done()
+		w.runHeartbeats(ctx)
+	}()
 	w.runWork(ctx)
 	time.Sleep(undisturbedPeriod)
 	stop()
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -149,5 +149,5 @@
 		b.exchange.finish(b.resp)
 		return
 	}
-	_ = b.exchange.fail(nil)
+	_ = b.exchange.fail(nil) // returns the error that it is given
 }
--- a/upstream/guard.go
+++ b/upstream/guard.go
@@ -28,9 +28,14 @@
 // noGuard is the guard of a server without one: it allows every request.
 type noGuard struct{}
 
-func (noGuard) Check(*Request) error      { return nil }
+// Check implements Guard.
+func (noGuard) Check(*Request) error { return nil }
+
+// Answered implements Guard.
 func (noGuard) Answered(int, http.Header) {}
-func (noGuard) KeepsIdle() bool           { return true }
+
+// KeepsIdle implements Guard.
+func (noGuard) KeepsIdle() bool { return true }
 
 // checkGuard returns an error of kind NotSent if the guard does not allow req, and then
 // puts its connection back.
