--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -35,6 +35,13 @@
 	// minPartToMove is the load of a range, relative to the load that should move, up
 	// to which the range is not worth a move.
 	minPartToMove = 0.2
+	// goodFit is the load of a range, relative to the load that should move, above which
+	// the range is preferred to a larger one that does not fit.
+	goodFit = 0.5
+	// A part that was split off is too large if its load exceeds tooLargeFactor times the
+	// load that should move, and mostOfRange of the whole range's.
+	tooLargeFactor = 2
+	mostOfRange    = 0.9
 )
 
 // balance moves load from the servers with the highest utilization to those with the
@@ -129,7 +136,7 @@
 func betterFit(a, b, amount float64) bool {
 	fitsA, fitsB := a <= amount*wholeRangeTolerance, b <= amount*wholeRangeTolerance
 	if fitsA != fitsB {
-		return fitsA && a > amount*0.5 || !fitsA && b <= amount*0.5
+		return fitsA && a > amount*goodFit || !fitsA && b <= amount*goodFit
 	}
 	return a > b
 }
@@ -153,7 +160,9 @@
 		keep, move = p.split(r, high)
 		n = p.neighbourOr(i+1, move.load, n)
 	}
-	tooMuch := func(part plannedRange) bool { return part.load > 2*amount+1 && part.load > r.load*0.9 }
+	tooMuch := func(part plannedRange) bool {
+		return part.load > tooLargeFactor*amount+1 && part.load > r.load*mostOfRange
+	}
 	if tooMuch(move) {
 		keep, move = move, keep
 	}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -11,6 +11,10 @@
 // a service is not balanced.
 const ungrantedPlans = 2
 
+// coldCapacity is the share of its capacity with which a server that has just started
+// enters a plan.
+const coldCapacity = 0.5
+
 // plan appends a record when ranges have no usable owner or load is uneven.
 func (m *Machine) plan(now Time) {
 	m.load.decay(now)
@@ -133,7 +137,7 @@
 }
 
 // plannedServers returns the servers as they enter a plan, still without load. A server that
-// has just started counts with half its capacity.
+// has just started counts with a part of its capacity.
 func (m *Machine) plannedServers(now Time, servers []directory.Server) []*plannedServer {
 	ids := make([]string, 0, len(servers))
 	for _, v := range servers {
@@ -148,7 +152,7 @@
 			full:     m.full.contains(now, v.Holder),
 		}
 		if v.Cold > 0 {
-			n.capacity /= 2
+			n.capacity *= coldCapacity
 		}
 		out = append(out, n)
 	}
