assigner: the hold of a server that gets its keys back before they were given away is kept

Keys were moved away from a server, back to it before the other one had them, and away again. When they came back, the server counted as one without a grant, though it held them under its first one; when the grant in between could not be sent, as a full server resets connections, nothing was left that told of the hold, and the keys were granted to the third server at once.

TestHoldOfAServerThatGotItsKeysBackIsKept failed before (0 s instead of 10 s). An owner that may hold keys of the range, as owner or earlier holder, keeps the bound of that hold.

--- a/assigner/maps.go
+++ b/assigner/maps.go
@@ -84,15 +84,17 @@
 		out.releases = nil
 		return &out
 	}
-	bound := Time(0)
+	bound, mayHold := Time(0), len(r.Prior) == 0
 	for ; i < len(old) && old[i].service == service && old[i].From <= r.To; i++ {
 		bound = max(bound, old[i].heldUntil)
 		if len(old[i].Prior) > 0 {
 			bound = max(bound, old[i].freeAt)
 		}
+		mayHold = mayHold || old[i].mayBeHeldBy(r.Owner)
 	}
 	s := newRangeState(service, r, bound, now)
-	if s.unproven = len(r.Prior) == 0; !s.unproven {
+	s.unproven = len(r.Prior) == 0
+	if !mayHold {
 		s.heldUntil = 0 // the new owner has no grant yet
 	}
 	return s
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -46,6 +46,11 @@
 	return r.service == service && r.From == other.From && r.To == other.To && r.SameGrant(other)
 }
 
+// mayBeHeldBy reports whether a server may hold keys of the range under some grant.
+func (r *rangeState) mayBeHeldBy(h keyrange.Holder) bool {
+	return r.Owner == h || slices.Contains(r.Prior, h)
+}
+
 func (r *rangeState) removePrior(h keyrange.Holder) {
 	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(p keyrange.Holder) bool { return p == h })
 }
