--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -45,15 +45,15 @@
 func (c *Cluster) grantDirect(a assigner.Grant) (assigner.CallResult, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
 	defer cancel()
-	return c.sendGrant(ctx, a.Address, a.Range, a.Hold, a.Handover)
+	return c.sendGrant(ctx, a)
 }
 
 // sendGrant sends a grant to its owner. The answers to grants are the only ones of a
 // server that gets no requests: it may say in them that it leaves.
-func (c *Cluster) sendGrant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, handover string) (assigner.CallResult, error) {
-	answer, err := c.backends.Grant(ctx, addr, r, hold, handover)
+func (c *Cluster) sendGrant(ctx context.Context, a assigner.Grant) (assigner.CallResult, error) {
+	answer, err := c.backends.Grant(ctx, a)
 	if answer.Leaving {
-		c.AddLeaving(r.Owner)
+		c.AddLeaving(a.Range.Owner)
 	}
 	return answer.Result, err
 }
--- a/cluster/ports.go
+++ b/cluster/ports.go
@@ -69,7 +69,7 @@
 
 // Backends sends grants and releases to backend servers.
 type Backends interface {
-	Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, handover string) (GrantAnswer, error)
+	Grant(ctx context.Context, g assigner.Grant) (GrantAnswer, error)
 	Release(ctx context.Context, addr string, r keyrange.Range) (handover string, result assigner.CallResult, err error)
 	// Probe connects to an address. The error tells whether a process listens there.
 	Probe(ctx context.Context, addr string) error
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -128,11 +128,20 @@
 	if call.Release {
 		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
 	} else {
-		hold := time.Duration(call.HoldMS) * time.Millisecond
-		out.Result, err = c.sendGrant(ctx, call.Address, call.Range, hold, call.Handover)
+		out.Result, err = c.sendGrant(ctx, relayedGrant(call))
 	}
 	if err != nil {
 		c.logEvent(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
 	}
 	return out
 }
+
+// relayedGrant returns the grant that another host asks for.
+func relayedGrant(call *hostlink.RelayRequest) assigner.Grant {
+	return assigner.Grant{
+		Address:  call.Address,
+		Range:    call.Range,
+		Hold:     time.Duration(call.HoldMS) * time.Millisecond,
+		Handover: call.Handover,
+	}
+}
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -508,11 +508,11 @@
 }
 
 // Grant implements Backends.
-func (w *world) Grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration, _ string) (GrantAnswer, error) {
-	result, err := w.grant(ctx, addr, r, hold)
+func (w *world) Grant(ctx context.Context, g assigner.Grant) (GrantAnswer, error) {
+	result, err := w.grant(ctx, g.Address, g.Range, g.Hold)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := w.server(r.Owner.ID)
+	s := w.server(g.Range.Owner.ID)
 	return GrantAnswer{Result: result, Leaving: serverAnswered(result) && s != nil && s.leaving}, err
 }
 
--- /dev/null
+++ b/internal/connstate/connstate_test.go
@@ -0,0 +1,63 @@
+package connstate_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingsaddle/lacewingsaddle/internal/connstate"
+)
+
+// pair returns both ends of a loopback connection.
+func pair(t *testing.T) (here, there net.Conn) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	here, err = net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	there, err = lis.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = here.Close()
+		_ = there.Close()
+	})
+	return here, there
+}
+
+// become waits until a connection is in a state. The bound only ends a test that fails.
+func become(t *testing.T, conn net.Conn, want connstate.State) {
+	require.Eventually(t, func() bool { return connstate.Of(conn) == want }, time.Minute, time.Millisecond)
+}
+
+// Looking at a connection tells apart waiting bytes and its end, and takes no byte.
+func TestStates(t *testing.T) {
+	here, there := pair(t)
+	require.Equal(t, connstate.Quiet, connstate.Of(here))
+	_, err := there.Write([]byte("ab"))
+	require.NoError(t, err)
+	become(t, here, connstate.Bytes)
+	b := make([]byte, 2)
+	n, err := here.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, "ab", string(b[:n]))
+	require.Equal(t, connstate.Quiet, connstate.Of(here))
+	require.NoError(t, there.Close())
+	become(t, here, connstate.Ended)
+}
+
+// A connection that this process has closed has ended.
+func TestClosedConnection(t *testing.T) {
+	here, _ := pair(t)
+	require.NoError(t, here.Close())
+	require.Equal(t, connstate.Ended, connstate.Of(here))
+}
+
+// A connection without a socket counts as quiet.
+func TestConnectionWithoutSocket(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	require.Equal(t, connstate.Quiet, connstate.Of(a))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,11 +9,9 @@
 	"bufio"
 	"context"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/lacewingsaddle/lacewingsaddle/internal/connstate"
 	"github.com/lacewingsaddle/lacewingsaddle/internal/wait"
 )
 
@@ -45,22 +43,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var b [1]byte
-	noData := false
-	err = control.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && noData
+	return connstate.Of(c.raw) == connstate.Quiet
 }
 
 // staysOpen waits for d and reports whether a new connection is still open. A
