assigner, platform: only a response that is certainly to a grant ends a wait for earlier ones

What callers saw: nothing directly. A copy of an earlier response that arrives alone, before the server's own or in its place, cannot be told from the answer to the call. After a takeover, or under a new token for the same owner, the assigner then forgot the longer hold that the server may have under earlier grants, and gave its keys to another server too soon.

Cause: any 200 counted as proof of the new token. A grant now says whether its answer decides something (its range is not granted yet, or the wait for earlier grants depends on it). Such a grant goes over a new connection, where each response is to this call; renewals keep theirs. If a full server resets the new connection, the grant goes over a kept one, so that the hold is renewed, but its answer ends no wait: of the holds that the server may have the longest counts. A response that arrives before the call was acknowledged by the server's host is no result either: a hold is counted from its answer on because the call has arrived by then.

Ruled out: new connections for all grants (full servers reset them); counting the longest hold for every renewal from its decision on, which would let keys move 0.9 s later after each crash.

The random walks of the model now have failed grants whose response is an earlier one's; a mutation that ignores the rule was not noticed in 400 walks, so it is not among TestMutationsAreNoticed.

What a renewal still can get wrong is a range that counts as granted for one renewal interval.

--- a/assigner/messages.go
+++ b/assigner/messages.go
@@ -87,6 +87,9 @@
 	Service string
 	Range   keyrange.Range
 	Result  CallResult
+	// Attributed is set if the response is certainly to this call. Without it a server in
+	// trouble may have repeated its response to an earlier one.
+	Attributed bool
 }
 
 // Released is the result of a Release.
@@ -142,6 +145,8 @@
 	Range    keyrange.Range
 	Hold     time.Duration
 	Handover string
+	// Decisive asks for a response that is certainly to this call.
+	Decisive bool
 }
 
 // Release revokes a range from an earlier holder under the next owner's token.
--- a/assigner/model_world_test.go
+++ b/assigner/model_world_test.go
@@ -397,10 +397,16 @@
 				w.hold(s, a, arrived)
 			}
 		})
+	case w.chance(10): // the server fails it and repeats its response to an earlier grant
+		e.Attributed = a.Decisive && w.chance(80)
+		if !e.Attributed {
+			e.Result = CallOK
+		}
 	default:
 		result := w.hold(s, a, w.now)
 		if !w.chance(4) {
 			e.Result = result
+			e.Attributed = a.Decisive && w.chance(80)
 		}
 	}
 	w.answer(h, func(m *Machine, now Time) { m.StepGranted(now, e) })
--- a/assigner/plan_test.go
+++ b/assigner/plan_test.go
@@ -54,7 +54,7 @@
 				c.end++
 				c.m.StepAppended(c.now, Appended{Start: c.now, End: c.end})
 			case Grant:
-				c.m.StepGranted(c.now, Granted{Service: a.Service, Range: a.Range})
+				c.m.StepGranted(c.now, Granted{Service: a.Service, Range: a.Range, Attributed: true})
 			case Release:
 				c.m.StepReleased(c.now, Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Handover: "h"})
 			}
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -25,7 +25,8 @@
 	grantOutstanding bool
 	needsToken       bool // the owner has seen a higher token
 	// unproven is set until the owner has accepted a grant under a token of this
-	// epoch; until then grants from earlier assigners may still be valid.
+	// epoch in a response that is certainly to that grant; until then grants from earlier
+	// assigners may still be valid.
 	unproven  bool
 	nextGrant Time
 	releases  []*releaseCall
@@ -87,7 +88,14 @@
 	r.sentHold = hold
 	r.heldBefore = r.heldUntil
 	r.heldUntil = max(r.heldUntil, now+MaxGrantDelay+m.holdEnd(hold))
-	m.emit(Grant{Service: r.service, Address: addr, Range: r.Range, Hold: hold, Handover: r.handover})
+	m.emit(Grant{
+		Service:  r.service,
+		Address:  addr,
+		Range:    r.Range,
+		Hold:     hold,
+		Handover: r.handover,
+		Decisive: r.unproven || !r.Granted,
+	})
 }
 
 // releasePrior removes the earlier holders that have ended or whose holds have
@@ -164,7 +172,7 @@
 	}
 	switch e.Result {
 	case CallOK:
-		m.recordGrant(now, r)
+		m.recordGrant(now, r, e.Attributed)
 	case CallRefused:
 		r.nextGrant = now + callRetryDelay
 		m.recordRefusal(now, m.cfg.Self.Name, r.Owner)
@@ -181,10 +189,17 @@
 
 // recordGrant records that a range's owner has accepted its grant. The hold begins when
 // the call arrives, which is before its answer.
-func (m *Machine) recordGrant(now Time, r *rangeState) {
-	r.heldUntil = max(r.heldBefore, now+m.holdEnd(r.sentHold))
-	if r.unproven {
-		r.heldUntil = now + m.holdEnd(r.sentHold)
+//
+// A response that may be to an earlier call ends no wait: of the holds that the server may
+// have, the longest counts. That the range counts as granted then only tells hosts where to
+// send its requests, which the server rejects if it does not hold the keys.
+func (m *Machine) recordGrant(now Time, r *rangeState, attributed bool) {
+	end := now + m.holdEnd(r.sentHold)
+	if r.unproven && attributed {
+		r.heldBefore = 0 // grants under earlier tokens no longer count
+	}
+	r.heldUntil = max(r.heldBefore, end)
+	if r.heldUntil == end {
 		r.unproven = false
 	}
 	m.suspects.answered(r.Owner)
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -25,24 +25,24 @@
 // machine's decision, because a successor relies on that bound.
 func (c *Cluster) grant(decided time.Duration, a assigner.Grant) {
 	c.stats.Grants.Inc(1)
-	result, err := assigner.CallUnsent, error(nil)
+	answer, err := GrantAnswer{Result: assigner.CallUnsent}, error(nil)
 	if c.cfg.Clock()-decided < maxDecisionAge {
-		result, err = c.grantDirect(a)
+		answer, err = c.grantDirect(a)
 	}
-	if !serverAnswered(result) {
-		call := hostlink.RelayRequest{Address: a.Address, Range: a.Range, HoldMS: a.Hold.Milliseconds(), Handover: a.Handover}
-		result, _ = c.relay(call, result, decided+grantTotalTimeout)
+	if !serverAnswered(answer.Result) {
+		relayed := c.relay(relayOfGrant(a), answer.Result, decided+grantTotalTimeout)
+		answer = GrantAnswer{Result: relayed.Result, Attributed: relayed.Attributed}
 	}
-	if result != assigner.CallOK {
+	if answer.Result != assigner.CallOK {
 		c.stats.GrantFails.Inc(1)
-		c.logEvent(event.GrantFailed(grantEvent(a.Range, a.Range.Owner, result, err)))
+		c.logEvent(event.GrantFailed(grantEvent(a.Range, a.Range.Owner, answer.Result, err)))
 	}
-	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: result}
+	e := assigner.Granted{Service: a.Service, Range: a.Range, Result: answer.Result, Attributed: answer.Attributed}
 	c.post(func() { c.machine.StepGranted(c.cfg.Clock(), e) })
 }
 
 // grantDirect grants a range from this host.
-func (c *Cluster) grantDirect(a assigner.Grant) (assigner.CallResult, error) {
+func (c *Cluster) grantDirect(a assigner.Grant) (GrantAnswer, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, grantTimeout)
 	defer cancel()
 	return c.sendGrant(ctx, a)
@@ -50,12 +50,12 @@
 
 // sendGrant sends a grant to its owner. The answers to grants are the only ones of a
 // server that gets no requests: it may say in them that it leaves.
-func (c *Cluster) sendGrant(ctx context.Context, a assigner.Grant) (assigner.CallResult, error) {
+func (c *Cluster) sendGrant(ctx context.Context, a assigner.Grant) (GrantAnswer, error) {
 	answer, err := c.backends.Grant(ctx, a)
 	if answer.Leaving {
 		c.AddLeaving(a.Range.Owner)
 	}
-	return answer.Result, err
+	return answer, err
 }
 
 // release revokes a range from its holder. If this host cannot reach the server,
@@ -65,7 +65,8 @@
 	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
 	if !serverAnswered(result) {
 		call := hostlink.RelayRequest{Address: a.Address, Range: a.Range, Release: true}
-		result, handover = c.relay(call, result, c.cfg.Clock()+releaseTimeout)
+		relayed := c.relay(call, result, c.cfg.Clock()+releaseTimeout)
+		result, handover = relayed.Result, relayed.Handover
 	}
 	c.logEvent(event.KeysReleased(grantEvent(a.Range, a.Holder, result, err)))
 	e := assigner.Released{Service: a.Service, Range: a.Range, Holder: a.Holder, Result: result, Handover: handover}
--- a/cluster/ports.go
+++ b/cluster/ports.go
@@ -65,10 +65,15 @@
 type GrantAnswer struct {
 	Result  assigner.CallResult
 	Leaving bool // the server answered that it leaves
+	// Attributed is set if the answer is certainly to this call, and not once more the one
+	// to an earlier call.
+	Attributed bool
 }
 
 // Backends sends grants and releases to backend servers.
 type Backends interface {
+	// Grant makes a grant. If it is decisive, its answer is attributed to it where that is
+	// possible, at the cost of a new connection.
 	Grant(ctx context.Context, g assigner.Grant) (GrantAnswer, error)
 	Release(ctx context.Context, addr string, r keyrange.Range) (handover string, result assigner.CallResult, err error)
 	// Probe connects to an address. The error tells whether a process listens there.
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -23,7 +23,7 @@
 // relay asks other hosts, one after the other until the given time, to make a call.
 // direct is the result of this host's own attempt. If the server did not answer, the
 // result says whether any of the attempts may have reached the server.
-func (c *Cluster) relay(call hostlink.RelayRequest, direct assigner.CallResult, until time.Duration) (assigner.CallResult, string) {
+func (c *Cluster) relay(call hostlink.RelayRequest, direct assigner.CallResult, until time.Duration) hostlink.RelayResponse {
 	result := direct
 	call.From = c.cfg.Self
 	call.Epoch, _ = query(c.ctx, c, c.machine.Epoch) // 0 if the cluster stops
@@ -44,13 +44,13 @@
 			continue
 		}
 		if serverAnswered(answer.Result) {
-			return answer.Result, answer.Handover
+			return *answer
 		}
 		if answer.Result.Sent() {
 			result = answer.Result
 		}
 	}
-	return result, ""
+	return hostlink.RelayResponse{Result: result}
 }
 
 // relayThrough asks one host to make a call within a timeout.
@@ -128,7 +128,9 @@
 	if call.Release {
 		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
 	} else {
-		out.Result, err = c.sendGrant(ctx, relayedGrant(call))
+		var answer GrantAnswer
+		answer, err = c.sendGrant(ctx, relayedGrant(call))
+		out.Result, out.Attributed = answer.Result, answer.Attributed
 	}
 	if err != nil {
 		c.logEvent(event.RelayedCallFailed{Address: call.Address, Release: call.Release, Result: out.Result.String(), Error: err.Error()})
@@ -136,6 +138,17 @@
 	return out
 }
 
+// relayOfGrant returns the request to another host to make a grant.
+func relayOfGrant(a assigner.Grant) hostlink.RelayRequest {
+	return hostlink.RelayRequest{
+		Address:  a.Address,
+		Range:    a.Range,
+		HoldMS:   a.Hold.Milliseconds(),
+		Handover: a.Handover,
+		Decisive: a.Decisive,
+	}
+}
+
 // relayedGrant returns the grant that another host asks for.
 func relayedGrant(call *hostlink.RelayRequest) assigner.Grant {
 	return assigner.Grant{
@@ -143,5 +156,6 @@
 		Range:    call.Range,
 		Hold:     time.Duration(call.HoldMS) * time.Millisecond,
 		Handover: call.Handover,
+		Decisive: call.Decisive,
 	}
 }
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -513,7 +513,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.server(g.Range.Owner.ID)
-	return GrantAnswer{Result: result, Leaving: serverAnswered(result) && s != nil && s.leaving}, err
+	return GrantAnswer{Result: result, Leaving: serverAnswered(result) && s != nil && s.leaving, Attributed: true}, err
 }
 
 func (w *world) grant(ctx context.Context, addr string, r keyrange.Range, hold time.Duration) (assigner.CallResult, error) {
--- a/hostlink/messages.go
+++ b/hostlink/messages.go
@@ -79,11 +79,15 @@
 	Release  bool           `json:"release"`
 	HoldMS   int64          `json:"hold_ms,omitempty"` // duration of the grant in milliseconds
 	Handover string         `json:"handover,omitempty"`
-	LimitMS  int64          `json:"limit_ms"` // timeout of the call in milliseconds
+	Decisive bool           `json:"decisive,omitempty"` // see assigner.Grant
+	LimitMS  int64          `json:"limit_ms"`           // timeout of the call in milliseconds
 }
 
 // RelayResponse is the result of the relayed call.
 type RelayResponse struct {
 	Result   assigner.CallResult `json:"result"`
 	Handover string              `json:"handover,omitempty"`
+	// Attributed is set if the response is certainly to this call; hosts of earlier
+	// versions leave it out.
+	Attributed bool `json:"attributed,omitempty"`
 }
--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -1,4 +1,5 @@
-// Package connstate tells, without reading, what an idle connection has to read.
+// Package connstate tells, without reading or writing, what a connection has to read and
+// whether all that was written to it has arrived.
 package connstate
 
 import (
@@ -51,3 +52,21 @@
 	}
 	return Ended
 }
+
+// Unacknowledged reports whether bytes that were written to a connection have not arrived at
+// the other end yet. A connection that cannot be looked at counts as having none.
+func Unacknowledged(conn net.Conn) bool {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if controlErr := control.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil {
+		return false
+	}
+	return err == nil && n > 0
+}
--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -1,6 +1,7 @@
 package connstate_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -54,6 +55,23 @@
 	require.Equal(t, connstate.Ended, connstate.Of(here))
 }
 
+// Bytes that the other end has no room for have not arrived.
+func TestUnacknowledged(t *testing.T) {
+	here, there := pair(t)
+	require.False(t, connstate.Unacknowledged(here))
+	const more = 64 << 20 // than the buffers of both ends can take
+	written := make(chan error, 1)
+	go func() {
+		_, err := here.Write(make([]byte, more))
+		written <- err
+	}()
+	require.Eventually(t, func() bool { return connstate.Unacknowledged(here) }, time.Minute, time.Millisecond)
+	_, err := io.CopyN(io.Discard, there, more)
+	require.NoError(t, err)
+	require.NoError(t, <-written)
+	require.Eventually(t, func() bool { return !connstate.Unacknowledged(here) }, time.Minute, time.Millisecond)
+}
+
 // A connection without a socket counts as quiet.
 func TestConnectionWithoutSocket(t *testing.T) {
 	a, b := net.Pipe()
