gateway: an answer is not held back until a stalled upload goes on

Callers saw no answer at all: of an upload beyond 1 MB whose backend server answered early, failed or timed out while the caller stalled, nothing was written until the caller sent more of the body or left.

Cause: to keep the connection, net/http reads the rest of the request's body before it writes the response, and waits for the lock that the reader of the upload holds.

Evidence: TestAnswerReachesACallerThatStallsInAnUpload hung before (the stack shows chunkWriter.writeHeader waiting for the body's lock); the rows in which the host gives the request up set "Connection: close" already.

A response before the end of the body now closes the connection, so net/http writes it first and reads the rest, up to its bound, after it.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -35,7 +35,7 @@
 	if a.Length >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(a.Length, 10)}
 	}
-	g.closeIfStopping(h)
+	g.closeIfLast(h, q)
 	w.WriteHeader(a.Status)
 	n, err := w.Write(a.Body)
 	passed := int64(n)
@@ -87,10 +87,11 @@
 	return passed + n, err
 }
 
-// closeIfStopping has the caller's connection closed after the response if the host
-// stops.
-func (g *Gateway) closeIfStopping(h http.Header) {
-	if g.stopping.Load() {
+// closeIfLast has the caller's connection closed after the response if the host stops, or
+// if the request's body was not read completely: to keep the connection, net/http would
+// hold back the response until the rest of the body has arrived.
+func (g *Gateway) closeIfLast(h http.Header, q *request) {
+	if g.stopping.Load() || q.bodyIsUnread() {
 		h.Set("Connection", "close")
 	}
 }
@@ -114,7 +115,7 @@
 		retry = retryAfter(err)
 		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
 	}
-	g.closeIfStopping(h)
+	g.closeIfLast(h, q)
 	g.recordRefused(q, status, err, retry)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, string(fault.KindOf(err))+"\n") // the caller may have disconnected
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -190,7 +190,7 @@
 // outgoing builds the request that is sent to a server.
 func (g *Gateway) outgoing(q *request, s *server) *upstream.Request {
 	left := max(q.remaining().Milliseconds(), 1)
-	return &upstream.Request{
+	out := &upstream.Request{
 		Method: q.in.Method,
 		URI:    q.uri,
 		Host:   q.in.Host,
@@ -202,7 +202,6 @@
 		ID:       q.id,
 		IDHeader: g.cfg.Headers.RequestID,
 		Body:     q.body,
-		Rest:     q.rest,
 		Length:   q.length,
 		Once:     q.atMostOnce(),
 		Keyed:    q.keyed,
@@ -210,6 +209,10 @@
 		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
+	if q.rest != nil {
+		out.Rest = q.rest
+	}
+	return out
 }
 
 // classify returns nil if a response is to be forwarded to the caller, else an
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
@@ -36,8 +37,8 @@
 	header  http.Header
 
 	body   []byte
-	rest   io.Reader // follows body; nil if body is complete
-	length int64     // -1 when unknown
+	rest   *upload // follows body; nil if body is complete
+	length int64   // -1 when unknown
 
 	arrived  time.Time
 	queuedAt time.Time // start of the present wait for an owner and the limiter
@@ -189,10 +190,28 @@
 		q.length = int64(len(prefix))
 		return nil
 	}
-	q.rest = io.LimitReader(q.in.Body, limit-maxBufferedBody+1)
+	q.rest = &upload{from: io.LimitReader(q.in.Body, limit-maxBufferedBody+1)}
 	return nil
 }
 
+// upload is the part of a long body that is passed on while it arrives.
+type upload struct {
+	from     io.Reader
+	complete atomic.Bool // its end was read
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	n, err := u.from.Read(p)
+	if err == io.EOF {
+		u.complete.Store(true)
+	}
+	return n, err
+}
+
+// bodyIsUnread reports whether the request is answered before its whole body was read.
+func (q *request) bodyIsUnread() bool { return q.rest != nil && !q.rest.complete.Load() }
+
 // setDeadline sets the deadline and the context that ends at it.
 func (g *Gateway) setDeadline(q *request) {
 	limit := min(q.route.Timeout, maxTimeout)
