--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -345,9 +345,10 @@
 				b.gateway.Sweep()
 			}
 		}
-		b.sendToO1(t)
+		b.list(map[string]directory.State{"o2": directory.Draining}) // so that o1 is chosen
 		o1.set(200, leavingLine)
 		require.Equal(t, "o1", b.send("GET", "/list/1", "a", "").Body.String())
+		b.list(map[string]directory.State{"o2": directory.Ready})
 		sweeps(2)
 		s1.set(200, leavingLine)
 		require.Equal(t, "s1", b.send("GET", "/look/1", "b", "").Body.String())
