gateway: a body in chunks beyond its limit is refused, not cut off there

A backend server got another body than the caller had sent: of a body in chunks that exceeds the limit, the first bytes were passed on with a regular end, and the request ran; with a limit below 1 MB it was not checked at all. An upload whose body could not be read further held its server's place, and its caller, until the deadline.

Cause: the exchange with the server did not learn why the body's source had ended. io.LimitReader ends like a whole body, and an error of the source was kept from the reader of the response.

The source now ends with an error that has a kind. The exchange closes the server's connection, which leaves the body incomplete there, and returns that error: 413 or 400, which promise nothing about whether the request ran.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -133,6 +133,8 @@
 			return http.StatusGatewayTimeout
 		}
 		return http.StatusBadGateway
+	case fault.TooLarge, fault.BadRequest:
+		return fault.AnswerOf(kind).Status // says nothing about whether the request ran
 	}
 	if q.mayHaveRun {
 		return http.StatusBadGateway
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -181,8 +181,11 @@
 // countsAsFailure reports whether an outcome counts towards the server's failure rate.
 func countsAsFailure(a *upstream.Response, err error) bool {
 	if err != nil {
-		k := fault.KindOf(err)
-		return k != fault.Canceled && k != fault.NotSent && k != fault.StaleToken
+		switch fault.KindOf(err) {
+		case fault.Canceled, fault.NotSent, fault.StaleToken, fault.TooLarge, fault.BadRequest:
+			return false
+		}
+		return true
 	}
 	return a.Status >= http.StatusInternalServerError
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/lacewingsaddle/lacewingsaddle/fault"
@@ -169,7 +168,7 @@
 func (q *request) readBody(limit int64) error {
 	q.length = q.in.ContentLength
 	if q.length > limit {
-		return fault.Newf(fault.TooLarge, "the body exceeds %d bytes", limit)
+		return errBodyTooLarge(limit)
 	}
 	if q.length == 0 {
 		return nil
@@ -177,41 +176,26 @@
 	if q.length > 0 && q.length <= maxBufferedBody {
 		q.body = make([]byte, q.length)
 		if _, err := io.ReadFull(q.in.Body, q.body); err != nil {
-			return fault.Wrap(fault.BadRequest, err, "the request body could not be read completely")
+			return errUnreadableBody(err)
 		}
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(q.in.Body, maxBufferedBody))
+	prefix, err := io.ReadAll(io.LimitReader(q.in.Body, min(maxBufferedBody, limit+1)))
 	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, "the request body could not be read completely")
+		return errUnreadableBody(err)
+	}
+	if int64(len(prefix)) > limit {
+		return errBodyTooLarge(limit)
 	}
 	q.body = prefix
 	if len(prefix) < maxBufferedBody {
 		q.length = int64(len(prefix))
 		return nil
 	}
-	q.rest = &upload{from: io.LimitReader(q.in.Body, limit-maxBufferedBody+1)}
+	q.rest = &upload{from: q.in.Body, limit: limit, left: limit - maxBufferedBody}
 	return nil
 }
 
-// upload is the part of a long body that is passed on while it arrives.
-type upload struct {
-	from     io.Reader
-	complete atomic.Bool // its end was read
-}
-
-// Read implements io.Reader.
-func (u *upload) Read(p []byte) (int, error) {
-	n, err := u.from.Read(p)
-	if err == io.EOF {
-		u.complete.Store(true)
-	}
-	return n, err
-}
-
-// bodyIsUnread reports whether the request is answered before its whole body was read.
-func (q *request) bodyIsUnread() bool { return q.rest != nil && !q.rest.complete.Load() }
-
 // setDeadline sets the deadline and the context that ends at it.
 func (g *Gateway) setDeadline(q *request) {
 	limit := min(q.route.Timeout, maxTimeout)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,8 +10,8 @@
 
 // Do sends req once and returns the response. Errors of kind Refused, DialFailed,
 // Overloaded and NotSent mean that no byte was sent; SendFailed, AnswerCut,
-// AnswerMismatch, AnswerTooLarge, Timeout and Canceled mean that the request may have
-// run.
+// AnswerMismatch, AnswerTooLarge, Timeout and Canceled, and those with which Rest ends,
+// mean that the request may have run.
 func (s *Server) Do(ctx context.Context, req *Request) (*Response, error) {
 	now := time.Now()
 	c := s.takeIdle(now, req)
@@ -72,6 +72,9 @@
 
 // classify gives an error of a read the kind that tells what ended it.
 func (x *exchange) classify(err error) error {
+	if source := x.sourceError(); source != nil {
+		return source
+	}
 	var known *fault.Error
 	switch {
 	case errors.As(err, &known):
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -21,7 +21,7 @@
 	ID       string
 	IDHeader string
 	Body     []byte
-	Rest     io.Reader // follows Body; nil if Body is complete
+	Rest     io.Reader // follows Body; nil if Body is complete. Its errors are *fault.Error
 	Length   int64     // of Body and Rest together; -1 means chunked
 	Once     bool      // may run at most once
 	Keyed    bool      // the server owns the key of the request
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -33,7 +34,36 @@
 		return x.writeError(n, err)
 	}
 	x.written = make(chan error, 1)
-	go func() { x.written <- x.writeBody() }()
+	go func() {
+		err := x.writeBody()
+		x.written <- err
+		if isSourceError(err) {
+			x.conn.close() // the server would wait for the rest of the body
+		}
+	}()
+	return nil
+}
+
+// isSourceError reports whether a write of a body failed with err because its source did:
+// Rest ends with a *fault.Error then.
+func isSourceError(err error) bool {
+	var e *fault.Error
+	return errors.As(err, &e)
+}
+
+// sourceError returns the error of the body's source, or nil if it did not fail.
+func (x *exchange) sourceError() error {
+	if x.written == nil {
+		return nil
+	}
+	select {
+	case err := <-x.written:
+		x.written <- err
+		if isSourceError(err) {
+			return err
+		}
+	default: // the body is still being written
+	}
 	return nil
 }
 
