gateway: a request that misses the eviction of waiting requests does not wait

A caller whose key's owner had just asked for a pause waited for half of its latency target and was refused with a Retry-After of 250 ms, although it was known that the owner would serve nothing for seconds.

Cause: waiting requests are evicted at the moment of the judgement. A request that had chosen the server before it and began to wait after it missed that moment.

The limiter asks again once the request is queued: a judgement is recorded before it evicts, so either the request sees it or the eviction sees the request. The other tests of the limiter only pass the new argument.

--- a/gateway/decisions_test.go
+++ b/gateway/decisions_test.go
@@ -50,15 +50,18 @@
 	require.Equal(t, map[string]int{"a": 5, "b": 5}, count)
 }
 
+// alwaysEligible is the check of a request that no judgement keeps from its server.
+func alwaysEligible() error { return nil }
+
 func TestLimiterAdmitsByPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimiter(1)
 		ctx := context.Background()
-		require.NoError(t, l.acquire(ctx, 1, 0))
+		require.NoError(t, l.acquire(ctx, 1, 0, alwaysEligible))
 		var order []int
 		for _, priority := range []int{2, 0, 1} {
 			go func() {
-				if l.acquire(ctx, priority, time.Second) == nil {
+				if l.acquire(ctx, priority, time.Second, alwaysEligible) == nil {
 					order = append(order, priority)
 					l.release(time.Millisecond, time.Second, false, false)
 				}
@@ -74,14 +77,14 @@
 func TestLimiterWaitIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimiter(1)
-		require.NoError(t, l.acquire(context.Background(), 0, 0))
+		require.NoError(t, l.acquire(context.Background(), 0, 0, alwaysEligible))
 		start := time.Now()
-		err := l.acquire(context.Background(), 0, 70*time.Millisecond)
+		err := l.acquire(context.Background(), 0, 70*time.Millisecond, alwaysEligible)
 		require.Equal(t, fault.QueueTimeout, fault.KindOf(err))
 		require.Equal(t, 70*time.Millisecond, time.Since(start))
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 		defer cancel()
-		require.Equal(t, fault.NotSent, fault.KindOf(l.acquire(ctx, 0, time.Second)))
+		require.Equal(t, fault.NotSent, fault.KindOf(l.acquire(ctx, 0, time.Second, alwaysEligible)))
 		require.Empty(t, l.waiters)
 	})
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -86,7 +86,8 @@
 // queueAndSend waits until the concurrency limit of s admits q, and sends it.
 func (g *Gateway) queueAndSend(q *request, s *server) (*upstream.Response, error) {
 	wait := time.Duration(queueWaitShare*float64(q.target())) - time.Since(q.arrived)
-	if err := s.limiter.acquire(q.ctx, q.route.Priority, wait); err != nil {
+	check := func() error { return g.ineligibleError(q, s) }
+	if err := s.limiter.acquire(q.ctx, q.route.Priority, wait, check); err != nil {
 		return nil, err
 	}
 	start := time.Now()
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -51,6 +51,14 @@
 	return g.standings.check(h, eligibility.Request{Keyed: q.keyed, Retry: q.delivered})
 }
 
+// ineligibleError returns an *ineligible error if q must not be sent to s now, else nil.
+func (g *Gateway) ineligibleError(q *request, s *server) error {
+	if v := g.checkServer(q, s.Holder); !v.Allowed() {
+		return &ineligible{s.Holder.ID, v}
+	}
+	return nil
+}
+
 // ownerFullError refuses a request whose key's owner is full.
 func ownerFullError(s *server, v eligibility.Verdict) *fault.Error {
 	e := fault.Wrap(fault.NotAccepted, &ineligible{s.Holder.ID, v}, "the key's owner asked for a pause")
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -58,7 +58,10 @@
 
 // acquire waits for admission for at most wait. Errors are of kind QueueTimeout, or
 // NotSent if ctx ended or the request was evicted.
-func (l *limiter) acquire(ctx context.Context, priority int, wait time.Duration) error {
+//
+// A request that begins to wait just after the others were evicted would miss that. So
+// check, which returns the error to evict it with or nil, is called when it waits already.
+func (l *limiter) acquire(ctx context.Context, priority int, wait time.Duration, check func() error) error {
 	l.mu.Lock()
 	if len(l.waiters) == 0 && float64(l.inFlight) < l.limit {
 		l.inFlight++
@@ -72,6 +75,9 @@
 	w := &waiter{priority: priority, admitted: make(chan struct{})}
 	l.enqueue(w)
 	l.mu.Unlock()
+	if err := check(); err != nil {
+		return l.cancel(w, evictedError(err))
+	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -125,7 +131,12 @@
 	if w.evicted == nil {
 		return nil
 	}
-	return fault.Wrap(fault.NotSent, w.evicted, "the request was waiting for the server")
+	return evictedError(w.evicted)
+}
+
+// evictedError returns the error of a request that was evicted with err.
+func evictedError(err error) error {
+	return fault.Wrap(fault.NotSent, err, "the request was waiting for the server")
 }
 
 // evict ends the wait of every waiter with an error.
--- a/gateway/servers_test.go
+++ b/gateway/servers_test.go
@@ -19,10 +19,10 @@
 		v := listed.Find("s1")
 		first := s.get(v, limit)
 		for range limit {
-			require.NoError(t, first.limiter.acquire(t.Context(), 0, 0))
+			require.NoError(t, first.limiter.acquire(t.Context(), 0, 0, alwaysEligible))
 		}
 		waited := make(chan error, 1)
-		go func() { waited <- first.limiter.acquire(t.Context(), 0, time.Minute) }()
+		go func() { waited <- first.limiter.acquire(t.Context(), 0, time.Minute, alwaysEligible) }()
 		time.Sleep(time.Millisecond)
 		s.sweep(time.Now(), &directory.Snapshot{})
 		require.Same(t, first, s.get(v, limit))
--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -366,3 +366,30 @@
 		require.Equal(t, 3, again, "at once, after 3 s and after 6 s: %v", b.control.leaving)
 	})
 }
+
+// eventControl calls f when a request is about to be queued for its key's owner.
+type eventControl struct {
+	*fakeControl
+	f func()
+}
+
+func (c eventControl) MapAge() time.Duration {
+	c.f()
+	return c.fakeControl.MapAge()
+}
+
+// Guards against a request that waited in vain for a server that became full, or began to
+// leave, in the moment between the request's choice of the server and its wait: it missed
+// the eviction of the waiting requests.
+func TestRequestThatMissedTheEvictionDoesNotWait(t *testing.T) {
+	withTestGateway(t, func(t *testing.T, b *testGateway) {
+		b.watch(map[string]*scripted{"s1": {status: http.StatusOK, takes: time.Second}})
+		done := b.occupy("/look/1")
+		pause := http.Header{"Retry-After": {"5"}}
+		b.gateway.control = eventControl{b.control, func() { b.gateway.observe(holder("s1"), http.StatusServiceUnavailable, pause) }}
+		took, retry := b.refusedIn(t, "/book/1", "late")
+		require.Zero(t, took)
+		require.GreaterOrEqual(t, retry, 5*time.Second)
+		done.Wait()
+	})
+}
