--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -86,7 +86,8 @@
 // queueAndSend waits until the concurrency limit of s admits q, and sends it.
 func (g *Gateway) queueAndSend(q *request, s *server) (*upstream.Response, error) {
 	wait := time.Duration(queueWaitShare*float64(q.target())) - time.Since(q.arrived)
-	if err := s.limiter.acquire(q.ctx, q.route.Priority, wait); err != nil {
+	check := func() error { return g.ineligibleError(q, s) }
+	if err := s.limiter.acquire(q.ctx, q.route.Priority, wait, check); err != nil {
 		return nil, err
 	}
 	start := time.Now()
@@ -181,8 +182,11 @@
 // countsAsFailure reports whether an outcome counts towards the server's failure rate.
 func countsAsFailure(a *upstream.Response, err error) bool {
 	if err != nil {
-		k := fault.KindOf(err)
-		return k != fault.Canceled && k != fault.NotSent && k != fault.StaleToken
+		switch fault.KindOf(err) {
+		case fault.Canceled, fault.NotSent, fault.StaleToken, fault.TooLarge, fault.BadRequest:
+			return false
+		}
+		return true
 	}
 	return a.Status >= http.StatusInternalServerError
 }
@@ -190,7 +194,7 @@
 // outgoing builds the request that is sent to a server.
 func (g *Gateway) outgoing(q *request, s *server) *upstream.Request {
 	left := max(q.remaining().Milliseconds(), 1)
-	return &upstream.Request{
+	out := &upstream.Request{
 		Method: q.in.Method,
 		URI:    q.uri,
 		Host:   q.in.Host,
@@ -202,7 +206,6 @@
 		ID:       q.id,
 		IDHeader: g.cfg.Headers.RequestID,
 		Body:     q.body,
-		Rest:     q.rest,
 		Length:   q.length,
 		Once:     q.atMostOnce(),
 		Keyed:    q.keyed,
@@ -210,6 +213,10 @@
 		Attempts: &q.attempts,
 		Deadline: q.deadline,
 	}
+	if q.rest != nil {
+		out.Rest = q.rest
+	}
+	return out
 }
 
 // classify returns nil if a response is to be forwarded to the caller, else an
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -36,8 +36,8 @@
 	header  http.Header
 
 	body   []byte
-	rest   io.Reader // follows body; nil if body is complete
-	length int64     // -1 when unknown
+	rest   *upload // follows body; nil if body is complete
+	length int64   // -1 when unknown
 
 	arrived  time.Time
 	queuedAt time.Time // start of the present wait for an owner and the limiter
@@ -168,7 +168,7 @@
 func (q *request) readBody(limit int64) error {
 	q.length = q.in.ContentLength
 	if q.length > limit {
-		return fault.Newf(fault.TooLarge, "the body exceeds %d bytes", limit)
+		return errBodyTooLarge(limit)
 	}
 	if q.length == 0 {
 		return nil
@@ -176,20 +176,23 @@
 	if q.length > 0 && q.length <= maxBufferedBody {
 		q.body = make([]byte, q.length)
 		if _, err := io.ReadFull(q.in.Body, q.body); err != nil {
-			return fault.Wrap(fault.BadRequest, err, "the request body could not be read completely")
+			return errUnreadableBody(err)
 		}
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(q.in.Body, maxBufferedBody))
+	prefix, err := io.ReadAll(io.LimitReader(q.in.Body, min(maxBufferedBody, limit+1)))
 	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, "the request body could not be read completely")
+		return errUnreadableBody(err)
+	}
+	if int64(len(prefix)) > limit {
+		return errBodyTooLarge(limit)
 	}
 	q.body = prefix
 	if len(prefix) < maxBufferedBody {
 		q.length = int64(len(prefix))
 		return nil
 	}
-	q.rest = io.LimitReader(q.in.Body, limit-maxBufferedBody+1)
+	q.rest = &upload{from: q.in.Body, limit: limit, left: limit - maxBufferedBody}
 	return nil
 }
 
