assigner: keys beside a hot key leave its owner

Cause: for a move off a server the plan picked the largest of its ranges that did not fit the amount, and split it. A hot key's range has one key and can't be split, so the move failed, and so did each later one: a range whose load was between a fair fit and none stayed beside the hot key for as long as that was hot, and its callers shared the overloaded owner. Ranges that can neither move as a whole nor be split are passed over now.

--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -124,6 +124,9 @@
 		if now-r.state.movedAt < minInterval || r.load <= amount*minPartToMove {
 			continue
 		}
+		if r.isSingleKey() && r.load > amount*wholeRangeTolerance {
+			continue // can neither move as a whole nor be split
+		}
 		if best < 0 || betterFit(r.load, p.ranges[best].load, amount) {
 			best = i
 		}
@@ -131,6 +134,9 @@
 	return best
 }
 
+// isSingleKey reports whether the range has one key, so that it cannot be split.
+func (r *plannedRange) isSingleKey() bool { return r.Width() == 1 }
+
 // betterFit reports whether load a suits a move of amount better than b: loads that
 // fit the amount are preferred, then the larger.
 func betterFit(a, b, amount float64) bool {
@@ -146,7 +152,7 @@
 // more, the other part is assigned to n.
 func (p *servicePlan) splitAndAssign(i int, n *plannedServer, amount float64) bool {
 	r := p.ranges[i]
-	if r.Width() < 2 {
+	if r.isSingleKey() {
 		return false
 	}
 	low := p.weights.keyAtLoad(r.From, r.To, amount)
