trial: the subcommand try runs the hosts that the users run

The ledger, callers, backend servers and faults of package soak check the guarantees of the real entry host already, but only on separate processes. Now soak starts a host either as a program or in this process (type process), and has a tour: a configuration change, a backend server lost, one that leaves, one that is full, the store away, a planned stop and a kill of hosts, each once. `try` is that tour with its report. The platform's settings reach both kinds of host by one way (platform/entryhost).

Ruled out: hosts of `try` as child processes (it would need a second program built beforehand); the audit of loadgen (its samples and ledgers are those of the earlier backend stand-in). The only check of that audit which soak lacked, an order answered but never run, is rule UNRUN now. `--keep` and `--deployment` go with the earlier deployment.

Found by TestLocalProcessEndsAndStartsAgain and mended: a host that ended while it waited for its first configuration left the callers' listener open (edge).

--- a/cmd/lacewingsaddle-edge/main.go
+++ b/cmd/lacewingsaddle-edge/main.go
@@ -22,9 +22,9 @@
 
 	"github.com/lacewingsaddle/lacewingsaddle/cluster"
 	"github.com/lacewingsaddle/lacewingsaddle/edge"
-	"github.com/lacewingsaddle/lacewingsaddle/gateway"
 	"github.com/lacewingsaddle/lacewingsaddle/logsink"
 	"github.com/lacewingsaddle/lacewingsaddle/platform"
+	"github.com/lacewingsaddle/lacewingsaddle/platform/entryhost"
 )
 
 const (
@@ -36,9 +36,6 @@
 	// memoryShare is the fraction of the host's memory that is set as the garbage
 	// collector's soft memory limit, above which it runs more often.
 	memoryShare = 0.6
-	// bufferShare is the fraction of the host's memory for response bodies that are
-	// buffered.
-	bufferShare = 0.1
 )
 
 type arguments struct {
@@ -83,7 +80,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(settings.StopGrace+stopReserve),
-		fx.Supply(withDroppedLines(options(settings), output)),
+		fx.Supply(withDroppedLines(entryhost.Options(settings), output)),
 		fx.Provide(
 			func() *zap.Logger { return newLogger(output) },
 			func() cluster.Store { return platform.NewStore(settings.Store) },
@@ -96,38 +93,13 @@
 	return serve(app, s.stops, settings.StopGrace+stopReserve)
 }
 
-func options(s platform.Settings) edge.Options {
-	return edge.Options{
-		Host:      s.Host,
-		Traffic:   s.Traffic,
-		Readiness: s.Readiness,
-		Peer:      s.Peer,
-		Metrics:   s.Metrics,
-		Seeds:     s.Seeds,
-		CPU:       s.CPU,
-		LinkMbps:  s.LinkMbps,
-		StopGrace: s.StopGrace,
-		HoldMax:   s.HoldMax,
-		Gateway: gateway.Config{
-			Domain:      s.Domain,
-			Headers:     platform.Headers(),
-			Budget:      gateway.BudgetRule{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-			BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
-			Drain:       s.DrainTime,
-		},
-	}
-}
-
 func withDroppedLines(o edge.Options, output *logsink.Writer) edge.Options {
 	o.DroppedLines = output.Dropped
 	return o
 }
 
 func newLogger(output *logsink.Writer) *zap.Logger {
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	enc.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), output, zapcore.InfoLevel)
+	core := zapcore.NewCore(entryhost.NewEncoder(), output, zapcore.InfoLevel)
 	return zap.New(logsink.NewCore(core, output, logsink.DefaultLinesPerSecond, time.Now))
 }
 
@@ -139,7 +111,7 @@
 			host.LogInvalidSettings(err)
 			continue
 		}
-		host.Reload(options(settings))
+		host.Reload(entryhost.Options(settings))
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -162,7 +162,8 @@
 	server.HTTP.ReadHeaderTimeout, server.HTTP.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	routes, err := h.awaitRoutes(ctx)
 	if err != nil {
-		return // the host has stopped
+		_ = lis.Close() // the host has ended; nothing was accepted
+		return
 	}
 	if routes != nil {
 		server.HTTP.ReadHeaderTimeout = routes.Limits.HeaderTimeout
@@ -257,3 +258,16 @@
 	h.logEvent(event.HostStopped{TookMS: event.Millis(time.Since(begin))})
 	return nil
 }
+
+// Kill ends a host at once, as a crash of its process would: it does not resign, and it
+// closes callers' connections without an answer. A host that is stopping is not killed.
+func (h *Host) Kill() {
+	close(h.stopping)
+	h.stop()
+	_ = h.callers.server.Close() // the requests in flight end with their connections
+	_ = h.ready.Close()
+	_ = h.metrics.Close()
+	h.cluster.Stop()
+	h.gateway.CloseIdle()
+	h.background.Wait()
+}
--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -13,9 +13,6 @@
 	budgetReaction = 500 * time.Millisecond
 	// budgetRequests is how many requests may reach the server after that.
 	budgetRequests = 2
-
-	ruleDrain  = "DRAIN"
-	ruleBudget = "BUDGET"
 )
 
 // link is a host's process together with a run of a backend server.
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -111,7 +111,7 @@
 	c.w.announcements.requestSent(a)
 	req, err := http.NewRequestWithContext(a.trace(), http.MethodPost, "http://"+c.address(h)+path, strings.NewReader(a.body))
 	if err != nil {
-		c.w.addViolation("SOAK", "cannot build a request: %v", err)
+		c.w.addViolation(ruleSoak, "cannot build a request: %v", err)
 		return
 	}
 	req.GetBody = nil // keeps net/http from retrying the request
@@ -153,7 +153,7 @@
 
 // checkUnanswered records a request without an answer.
 func (c *client) checkUnanswered(a *attempt, err error) {
-	c.w.countRequest(false)
+	c.w.countRequest(a, unknown)
 	c.w.ledger.addAnswer(answer{id: a.id, atMostOnce: a.atMostOnce})
 	c.w.ledger.addUnanswered(a, err)
 }
@@ -166,19 +166,18 @@
 	if server := platformtest.AnsweredBy(resp.Header); server != "" {
 		c.w.announcements.responsePassedOn(a, server)
 	}
-	served := resp.StatusCode == http.StatusOK && err == nil
-	c.w.countRequest(served)
-	rejected := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
-	c.w.ledger.addAnswer(answer{id: a.id, atMostOnce: a.atMostOnce, rejected: rejected})
+	result := outcomeOf(resp.StatusCode, err)
+	c.w.countRequest(a, result)
+	c.w.ledger.addAnswer(answer{id: a.id, atMostOnce: a.atMostOnce, outcome: result})
 	if id := platformtest.ResponseRequestID(resp.Header); id != "" && id != a.id {
-		c.w.addViolation("MIXED", "%s got the answer to %s", a.id, id)
+		c.w.addViolation(ruleMixed, "%s got the answer to %s", a.id, id)
 	}
-	if rejected && resp.Header.Get("Retry-After") == "" {
-		c.w.addViolation("REFUSED", "%s was refused without a Retry-After header", a.id)
+	if result == rejected && resp.Header.Get("Retry-After") == "" {
+		c.w.addViolation(ruleRefused, "%s was refused without a Retry-After header", a.id)
 	}
-	if served {
+	if result == served {
 		if body != platformtest.ResponseBody(platformtest.AnsweredBy(resp.Header), a.id, a.body) {
-			c.w.addViolation("MIXED", "%s was answered %q", a.id, body)
+			c.w.addViolation(ruleMixed, "%s was answered %q", a.id, body)
 		}
 	}
 	c.checkVersion(a, resp.StatusCode)
@@ -194,21 +193,39 @@
 		c.newestServed[a.process] = max(c.newestServed[a.process], a.version)
 	case http.StatusNotFound:
 		if a.version <= c.newestServed[a.process] {
-			c.w.addViolation("CONFIG", "%s answered 404 for version %d after it had served version %d", a.process, a.version, c.newestServed[a.process])
+			c.w.addViolation(ruleConfig, "%s answered 404 for version %d after it had served version %d", a.process, a.version, c.newestServed[a.process])
 		}
 		if a.version <= a.required && c.w.undisturbed(a.sentAt, "store", a.host.name) {
-			c.w.addViolation("CONFIG", "%s answered 404 for version %d, published more than %v before", a.process, a.version, applyTime)
+			c.w.addViolation(ruleConfig, "%s answered 404 for version %d, published more than %v before", a.process, a.version, applyTime)
 		}
 	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden:
-		c.w.addViolation("DENIED", "%s got status %d", a.id, status)
+		c.w.addViolation(ruleDenied, "%s got status %d", a.id, status)
 	}
 }
 
-func (w *world) countRequest(served bool) {
+// outcomeOf returns the outcome of a request from its answer's status, and the error in
+// reading the answer.
+func outcomeOf(status int, err error) outcome {
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return rejected
+	case status == http.StatusOK && err == nil:
+		return served
+	default:
+		return unknown
+	}
+}
+
+func (w *world) countRequest(a *attempt, result outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report.Requests++
-	if served {
+	if result == served {
 		w.report.Served++
 	}
+	if a.atMostOnce {
+		w.report.Orders.count(result)
+	} else {
+		w.report.Lookups.count(result)
+	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -122,7 +122,7 @@
 // restartHost starts a new process of a host.
 func (w *world) restartHost(h *host) {
 	if err := h.launch(); err != nil {
-		w.addViolation("SOAK", "cannot start %s: %v", h.name, err)
+		w.addViolation(ruleSoak, "cannot start %s: %v", h.name, err)
 	}
 }
 
@@ -221,7 +221,7 @@
 
 func storeFault(w *world, target int, d time.Duration) {
 	f := storeFaults[target%len(storeFaults)]
-	w.logEvent("store fault %d for %v", f, d.Round(time.Millisecond))
+	w.logEvent("the store: %v for %v", f, d.Round(time.Millisecond))
 	w.withFault("store", d, func() { w.store.SetFault(f) }, func() { w.store.SetFault(platformtest.NoFault) })
 }
 
@@ -273,7 +273,7 @@
 
 func (w *world) restartServer(s *server) {
 	if err := s.launch(); err != nil {
-		w.addViolation("SOAK", "cannot start %s: %v", s.id, err)
+		w.addViolation(ruleSoak, "cannot start %s: %v", s.id, err)
 		return
 	}
 	s.heartbeat()
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,7 @@
 	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
-// host is an entry host: the real program in a separate process.
+// host is an entry host, over all of its processes.
 type host struct {
 	w            *world
 	name         string
@@ -27,7 +26,7 @@
 	callerProxy  *Proxy // from callers to the host
 
 	mu      sync.Mutex
-	process *exec.Cmd
+	process process
 	exited  chan struct{}
 	// launches counts the processes started for this host; it numbers the present one.
 	launches atomic.Int64
@@ -59,9 +58,17 @@
 // time without sharing loopback addresses.
 const maxConcurrentSeeds = 200
 
-// address returns the loopback address of the i-th process of a seed.
-func address(seed uint64, i, port int) string {
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+seed%maxConcurrentSeeds, 1+i, port)
+// localNetworks is the number of networks of runs with hosts in this process, which
+// follow those of the seeds.
+const localNetworks = 9
+
+// address returns the loopback address of the i-th process of a run.
+func (c Config) address(i, port int) string {
+	network := 1 + int(c.Seed%maxConcurrentSeeds)
+	if c.Program == "" {
+		network = 1 + maxConcurrentSeeds + os.Getpid()%localNetworks
+	}
+	return fmt.Sprintf("127.%d.%d.1:%d", network, 1+i, port)
 }
 
 func newHost(w *world, i int, store string) (*host, error) {
@@ -70,11 +77,11 @@
 	if h.storeProxy, err = NewProxy(store); err != nil {
 		return nil, err
 	}
-	h.trafficAddr = address(w.cfg.Seed, i, trafficPort)
+	h.trafficAddr = w.cfg.address(i, trafficPort)
 	if h.callerProxy, err = NewProxy(h.trafficAddr); err != nil {
 		return nil, err
 	}
-	h.peerAddr = address(w.cfg.Seed, i, peerPort)
+	h.peerAddr = w.cfg.address(i, peerPort)
 	ip, _, err := net.SplitHostPort(h.peerAddr)
 	if err != nil {
 		return nil, err
@@ -87,7 +94,7 @@
 		Host:      h.name,
 		IP:        ip,
 		Traffic:   h.trafficAddr,
-		Readiness: address(w.cfg.Seed, i, readinessPort),
+		Readiness: w.cfg.address(i, readinessPort),
 		Peer:      h.peerAddr,
 		Seed:      seed,
 		Store:     h.storeProxy.Address(),
@@ -101,31 +108,37 @@
 func (h *host) launch() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out, err := os.OpenFile(filepath.Join(h.w.cfg.Dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(h.w.cfg.Dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	defer out.Close() // the process has its own descriptor
-	cmd := exec.Command(h.w.cfg.Program)
-	cmd.Env = []string{platformtest.SettingsVariable + "=" + h.settingsPath}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	p, err := h.start(log)
+	if err != nil {
+		_ = log.Close() // nothing was written to it
 		return err
 	}
-	h.process, h.exited, h.exitExpected = cmd, make(chan struct{}), false
+	h.process, h.exited, h.exitExpected = p, make(chan struct{}), false
 	h.launchedAt = time.Now()
 	h.launches.Add(1)
-	go h.awaitExit(cmd, h.exited)
+	go h.awaitExit(p, h.exited)
 	return nil
 }
 
-func (h *host) awaitExit(cmd *exec.Cmd, exited chan struct{}) {
-	err := cmd.Wait()
+// start starts the program, or the host in this process if there is none.
+func (h *host) start(log *os.File) (process, error) {
+	if h.w.cfg.Program == "" {
+		return startLocal(h.settingsPath, log)
+	}
+	return startProgram(h.w.cfg.Program, h.settingsPath, log)
+}
+
+func (h *host) awaitExit(p process, exited chan struct{}) {
+	err := p.wait()
 	h.mu.Lock()
 	expected := h.exitExpected
 	h.mu.Unlock()
 	if !expected {
-		h.w.addViolation("EXIT", "%s exited unexpectedly: %v", h.name, err)
+		h.w.addViolation(ruleExit, "%s exited unexpectedly: %v", h.name, err)
 	}
 	close(exited)
 }
@@ -140,7 +153,7 @@
 	if s == syscall.SIGTERM && h.stops[n].IsZero() {
 		h.stops[n] = time.Now()
 	}
-	_ = h.process.Process.Signal(s) // the process may have exited
+	h.process.signal(s)
 }
 
 // stopGracefully stops the process by SIGTERM, and by SIGKILL if it has not exited
@@ -152,7 +165,7 @@
 	case <-h.done():
 	case <-time.After(graceTime + time.Second):
 		if h.w.faultFree(begin.Add(undisturbedPeriod), h.name) {
-			h.w.addViolation("LOST", "%s was still running %v after SIGTERM", h.name, graceTime+time.Second)
+			h.w.addViolation(ruleLost, "%s was still running %v after SIGTERM", h.name, graceTime+time.Second)
 		}
 		h.kill()
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -13,7 +13,7 @@
 type answer struct {
 	id         string
 	atMostOnce bool // the request may run at most once
-	rejected   bool // the answer guarantees that the request did not run and never will
+	outcome    outcome
 }
 
 // pair names two backends that held a key at the same time.
@@ -90,7 +90,7 @@
 		}
 		l.overlaps[key][pair{backend, other}] = true
 		if l.overlaps[key][pair{other, backend}] {
-			l.w.addViolation("OWNER", "%s and %s both ran requests of key %d while both held it", s.id, o.id, key)
+			l.w.addViolation(ruleOwner, "%s and %s both ran requests of key %d while both held it", s.id, o.id, key)
 		}
 	}
 }
@@ -141,15 +141,18 @@
 		sent[a.id] = true
 		n := runs[a.id]
 		if a.atMostOnce && n > 1 {
-			l.w.addViolation("TWICE", "%s ran %d times", a.id, n)
+			l.w.addViolation(ruleTwice, "%s ran %d times", a.id, n)
 		}
-		if a.atMostOnce && a.rejected && n > 0 {
-			l.w.addViolation("REFUSED", "%s ran although its answer said that it did not", a.id)
+		if a.atMostOnce && a.outcome == rejected && n > 0 {
+			l.w.addViolation(ruleRefused, "%s ran although its answer said that it did not", a.id)
+		}
+		if a.outcome == served && n == 0 {
+			l.w.addViolation(ruleUnrun, "%s was answered although it did not run", a.id)
 		}
 	}
 	for id := range runs {
 		if !sent[id] && !strings.HasPrefix(id, "probe-") {
-			l.w.addViolation("UNASKED", "%s ran but no caller sent it", id)
+			l.w.addViolation(ruleUnasked, "%s ran but no caller sent it", id)
 		}
 	}
 }
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -70,7 +70,7 @@
 		switch {
 		case u.excused(reached):
 		case len(reached) > 0 || u.waited() > lossSlack || u.accepted():
-			l.w.addViolationAt(u.closedAt, "LOST", "%s", u.describe(l.w, reached))
+			l.w.addViolationAt(u.closedAt, ruleLost, "%s", u.describe(l.w, reached))
 		case u.waited() > 0 && u.attempt.direct:
 			l.w.addCrossed(u.closedAt, u.describe(l.w, nil))
 		}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -37,11 +37,17 @@
 		)
 	}
 	if err := o.w.store.PutConfig(n, serviceName, routes); err != nil {
-		o.w.addViolation("SOAK", "cannot publish a configuration: %v", err)
+		o.w.addViolation(ruleSoak, "cannot publish a configuration: %v", err)
 	}
 	o.ackedAt[n-1] = time.Now()
 }
 
+// publishConfig publishes the next version as an event of the run.
+func (w *world) publishConfig() {
+	w.operator.publish()
+	w.logEvent("configuration %d", w.operator.newestVersion())
+}
+
 // run publishes until ctx ends.
 func (o *operator) run(ctx context.Context) {
 	r := rand.New(rand.NewPCG(o.w.cfg.Seed, 7))
@@ -49,8 +55,7 @@
 		pause := configInterval/4 + time.Duration(r.Int64N(int64(configInterval*3/2)))
 		select {
 		case <-time.After(pause):
-			o.publish()
-			o.w.logEvent("configuration %d", o.newestVersion())
+			o.w.publishConfig()
 		case <-ctx.Done():
 			return
 		}
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -202,8 +202,7 @@
 // configSeries publishes several configurations in a row.
 func configSeries(w *world, r *rand.Rand) {
 	for range 1 + r.IntN(maxConfigs) {
-		w.operator.publish()
-		w.logEvent("configuration %d", w.operator.newestVersion())
+		w.publishConfig()
 		time.Sleep(randomDuration(r, seriesPause))
 	}
 	time.Sleep(configInterval)
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -47,7 +47,7 @@
 
 func newServer(w *world, i int) (*server, error) {
 	s := &server{w: w, id: fmt.Sprintf("s-%d", i)}
-	s.listenAddr = address(w.cfg.Seed, firstServerIndex+i, trafficPort)
+	s.listenAddr = w.cfg.address(firstServerIndex+i, trafficPort)
 	var err error
 	if s.proxy, err = NewProxy(s.listenAddr); err != nil {
 		return nil, err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,6 @@
-// Package soak runs the real entry host program as separate processes on one
-// machine, injects faults from outside, and checks the documented guarantees by what
-// callers and backend servers see.
+// Package soak runs real entry hosts on one machine, as separate processes or all in this
+// one, injects faults from outside, and checks the documented guarantees by what callers
+// and backend servers see.
 //
 // Hosts are stopped, paused, killed and restarted by signals. Connections to the
 // store, to backend servers and from callers pass through loopback proxies that
@@ -20,19 +20,22 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
 	"github.com/lacewingsaddle/lacewingsaddle/platform/platformtest"
 )
 
 // Config configures one run.
 type Config struct {
-	Program  string        // path of the entry host's program
+	Program  string        // path of the entry host's program; "" runs the hosts in this process
 	Dir      string        // directory for settings and logs
 	Seed     uint64        // determines the faults
 	Hosts    int           // entry hosts
 	Backends int           // backend servers
 	Clients  int           // callers
-	Length   time.Duration // how long faults are started
-	Work     Work          // what happens to hosts and servers
+	Length   time.Duration // how long faults are started; the length of each fault in a tour
+	Work     Work          // what happens to hosts and servers; with hosts in this process a tour
+	// Progress, if set, is called with each fault and new configuration.
+	Progress func(string)
 }
 
 // Work is what happens to hosts and servers in a run.
@@ -43,10 +46,11 @@
 	Faults  Work = "faults"  // faults, and single planned stops
 	Planned Work = "planned" // planned work alone
 	Both    Work = "both"
+	Tour    Work = "tour" // each kind of fault and of planned work once
 )
 
 // Works lists all kinds of work.
-var Works = []Work{Faults, Planned, Both}
+var Works = []Work{Faults, Planned, Both, Tour}
 
 // Time bounds. The first three are those that the platform sets for hosts, see the
 // settings in hosts.go.
@@ -68,30 +72,6 @@
 	servePollInterval = 50 * time.Millisecond
 )
 
-// Violation is a guarantee that did not hold.
-type Violation struct {
-	Rule   string
-	Detail string
-	At     time.Duration // since the start of the run
-}
-
-// String implements fmt.Stringer.
-func (v Violation) String() string {
-	return fmt.Sprintf("%7.3f s  %s: %s", v.At.Seconds(), v.Rule, v.Detail)
-}
-
-// Report is the outcome of a run.
-type Report struct {
-	Seed     uint64
-	Requests int      // sent by callers
-	Served   int      // answered with status 200
-	Faults   []string // faults and new configurations, in order
-	// Crossed lists requests whose connection a host closed within lossSlack, without
-	// having passed them on: their bytes crossed the close.
-	Crossed    []string
-	Violations []Violation
-}
-
 // world holds everything that takes part in one run.
 type world struct {
 	cfg      Config
@@ -116,6 +96,9 @@
 
 // Run runs one seed. An error means that the run itself could not be carried out.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
+	if cfg.Program == "" && cfg.Work != Tour {
+		return nil, fault.Newf(fault.BadSettings, "work %q needs the entry host's program", cfg.Work)
+	}
 	w := &world{
 		cfg:            cfg,
 		start:          time.Now(),
@@ -138,8 +121,10 @@
 	if unserved := w.waitUntilServed(ctx, startTimeout); unserved != "" {
 		return nil, fmt.Errorf("%v after the start: %s; see the logs in %s", startTimeout, unserved, cfg.Dir)
 	}
+	w.report.ReadyAfter = time.Since(w.start)
 	w.runFaultPhase(ctx)
 	w.checkAtEnd(ctx)
+	w.report.Took = time.Since(w.start)
 	return &w.report, nil
 }
 
@@ -203,6 +188,10 @@
 // of it has ended.
 func (w *world) runWork(ctx context.Context) {
 	var running sync.WaitGroup
+	if w.cfg.Work == Tour {
+		w.runTour(ctx)
+		return
+	}
 	if w.cfg.Work != Planned {
 		running.Add(1)
 		go func() {
@@ -227,7 +216,7 @@
 	defer stop()
 	go w.runHeartbeats(ctx)
 	if unserved := w.waitUntilServed(ctx, recoveryTimeout); unserved != "" {
-		w.addViolation("RECOVER", "%v after the last fault: %s", recoveryTimeout, unserved)
+		w.addViolation(ruleRecover, "%v after the last fault: %s", recoveryTimeout, unserved)
 	}
 	w.ledger.checkRuns()
 	w.ledger.checkUnanswered()
@@ -310,8 +299,11 @@
 func (w *world) logEvent(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at := fmt.Sprintf("%7.3f s  ", time.Since(w.start).Seconds())
-	w.report.Faults = append(w.report.Faults, at+fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%7.3f s  ", time.Since(w.start).Seconds()) + fmt.Sprintf(format, args...)
+	w.report.Faults = append(w.report.Faults, line)
+	if w.cfg.Progress != nil {
+		w.cfg.Progress(line)
+	}
 }
 
 // probedKeys are the keys that every host must serve; they spread over the key space.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,12 +109,14 @@
 		require.Equal(t, 200, call(b, id, noKey))
 	}
 	w.ledger.addAnswer(answer{id: "twice", atMostOnce: true})
-	w.ledger.addAnswer(answer{id: "refused", atMostOnce: true, rejected: true})
+	w.ledger.addAnswer(answer{id: "refused", atMostOnce: true, outcome: rejected})
 	w.ledger.addAnswer(answer{id: "safe"})
 	w.ledger.addAnswer(answer{id: "once", atMostOnce: true})
-	w.ledger.addAnswer(answer{id: "never ran", atMostOnce: true, rejected: true})
+	w.ledger.addAnswer(answer{id: "never ran", atMostOnce: true, outcome: rejected})
+	w.ledger.addAnswer(answer{id: "unrun", atMostOnce: true, outcome: served})
+	w.ledger.addAnswer(answer{id: "unrun lookup", outcome: served})
 	w.ledger.checkRuns()
-	require.ElementsMatch(t, []string{"TWICE", "REFUSED", "UNASKED"}, rules(w))
+	require.ElementsMatch(t, []string{"TWICE", "REFUSED", "UNASKED", "UNRUN", "UNRUN"}, rules(w))
 }
 
 func TestRequestAfterDrainingIsReported(t *testing.T) {
--- a/trial/command.go
+++ b/trial/command.go
@@ -1,13 +1,17 @@
+// Package trial is the subcommand try: it runs a whole deployment in this process, under
+// load and with faults, and prints whether the guarantees held.
 package trial
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
-	"go.uber.org/zap"
+	"github.com/lacewingsaddle/lacewingsaddle/fault"
+	"github.com/lacewingsaddle/lacewingsaddle/soak"
 )
 
 const (
@@ -16,58 +20,105 @@
 	exitUsage  = 2
 )
 
+// Hosts and backend servers. The upper bounds keep a trial within one machine's means,
+// the lower ones leave a host and a server that serve while others do not.
+const (
+	minHosts, maxHosts       = 2, 16
+	minBackends, maxBackends = 3, 50
+)
+
 // Command is the subcommand try with its flags.
 type Command struct {
-	Deployment string        `arg:"--deployment" default:"arrieta" help:"arrieta or hollister"`
-	JSON       bool          `arg:"-"` // print the report as JSON; a flag of the whole command line
-	Keep       bool          `arg:"--keep" help:"leave everything up after the report and print addresses and commands"`
-	Callers    int           `arg:"--callers" default:"48" help:"concurrent callers"`
-	Phase      time.Duration `arg:"--phase" default:"4s" help:"length of each of the four phases"`
-	Verbose    bool          `arg:"--verbose" help:"print the hosts' logs"`
+	Hosts    int           `arg:"--hosts" default:"4" help:"entry hosts"`
+	Backends int           `arg:"--backends" default:"6" help:"backend servers"`
+	Callers  int           `arg:"--callers" default:"16" help:"concurrent callers"`
+	Length   time.Duration `arg:"--length" default:"2s" help:"length of each fault"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"determines the callers' requests"`
+	Verbose  bool          `arg:"--verbose" help:"print faults and new configurations as they happen"`
+	JSON     bool          `arg:"-"` // print the report as JSON; a flag of the whole command line
 }
 
-// Run runs the subcommand and returns its exit code: 0 when every promise
-// held, 1 when one was broken or the deployment failed, 2 for wrong flags.
+// Run runs the subcommand and returns its exit code: 0 when every guarantee held, 1 when
+// one was violated or the deployment failed, 2 for wrong flags.
 func (c *Command) Run(ctx context.Context, stdout, stderr io.Writer) int {
-	shape, err := ShapeOf(c.Deployment)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	logger := zap.NewNop()
-	if c.Verbose {
-		logger, _ = zap.NewDevelopment()
-	}
-	o := Options{Shape: shape, Callers: max(1, c.Callers), Phase: c.Phase, Logger: logger}
-	if isTerminal(stderr) {
-		o.Progress = func(text string) { fmt.Fprintln(stderr, "… "+text) }
-	}
-	t := newTrial(o)
-	defer t.d.close()
-	report, err := t.run(ctx)
+	report, err := c.run(ctx, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
+		if fault.KindOf(err) == fault.BadSettings {
+			return exitUsage
+		}
 		return exitFailed
 	}
 	if err := c.print(report, stdout); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	if c.Keep {
-		t.d.writeAddresses(stderr)
-		<-ctx.Done()
-	}
-	if report.Broken() {
+	return exitCode(report)
+}
+
+func exitCode(r *soak.Report) int {
+	if len(r.Violations) > 0 {
 		return exitFailed
 	}
 	return exitOK
 }
 
-func (c *Command) print(r Report, w io.Writer) error {
+// run runs the deployment. The hosts' logs are kept if a guarantee was violated.
+func (c *Command) run(ctx context.Context, stderr io.Writer) (*soak.Report, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "lacewingsaddle-try")
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "make a directory for logs")
+	}
+	report, err := soak.Run(ctx, c.config(dir, stderr))
+	if err == nil && ctx.Err() != nil {
+		err = fault.New(fault.Internal, "the trial was ended before it was over")
+	}
+	if err != nil || len(report.Violations) > 0 {
+		fmt.Fprintln(stderr, "hosts' logs in", dir)
+		return report, err
+	}
+	return report, os.RemoveAll(dir)
+}
+
+// check returns an error of kind BadSettings if a flag is out of range.
+func (c *Command) check() error {
+	switch {
+	case c.Hosts < minHosts || c.Hosts > maxHosts:
+		return fault.Newf(fault.BadSettings, "--hosts must be %d to %d", minHosts, maxHosts)
+	case c.Backends < minBackends || c.Backends > maxBackends:
+		return fault.Newf(fault.BadSettings, "--backends must be %d to %d", minBackends, maxBackends)
+	case c.Callers < 1:
+		return fault.New(fault.BadSettings, "--callers must be at least 1")
+	case c.Length <= 0:
+		return fault.New(fault.BadSettings, "--length must be positive")
+	}
+	return nil
+}
+
+func (c *Command) config(dir string, stderr io.Writer) soak.Config {
+	config := soak.Config{
+		Dir:      dir,
+		Seed:     c.Seed,
+		Hosts:    c.Hosts,
+		Backends: c.Backends,
+		Clients:  c.Callers,
+		Length:   c.Length,
+		Work:     soak.Tour,
+	}
+	if c.Verbose || isTerminal(stderr) {
+		config.Progress = func(line string) { fmt.Fprintln(stderr, line) }
+	}
+	return config
+}
+
+func (c *Command) print(r *soak.Report, w io.Writer) error {
 	if c.JSON {
-		return r.WriteJSON(w)
+		return json.NewEncoder(w).Encode(r)
 	}
-	return r.WriteText(w)
+	return c.writeText(r, w)
 }
 
 func isTerminal(w io.Writer) bool {
@@ -78,29 +129,3 @@
 	info, err := f.Stat()
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
-
-// writeAddresses prints the addresses of the deployment and commands to try.
-func (d *deployment) writeAddresses(w io.Writer) {
-	fmt.Fprintf(w, "\nplatform  %s\n", d.logHTTP.URL)
-	for _, h := range d.live() {
-		s := h.Settings
-		fmt.Fprintf(w, "%-8s  %-10s callers http://%s  admin http://%s\n", s.Name, s.Domain, s.Listen, s.Admin)
-	}
-	host, first := d.live()[0].Settings, d.servers[0]
-	prefix := d.prefix(first.service)
-	fmt.Fprintf(w, `
-Try:
-  curl -i http://%s%s/item-1/stock
-  curl -i -X POST -H 'Idempotency-Key: my-order-1' -d '{"count":1}' http://%s%s/item-1/orders
-  curl http://%s/readyz
-  export LACEWINGSADDLE_ADMIN=http://%s LACEWINGSADDLE_TOKEN=%s
-  lacewingsaddle status                  # also hosts, servers, explain item-1, drain, audit
-  curl -H "Authorization: Bearer $LACEWINGSADDLE_TOKEN" http://%s/metrics
-  curl -X POST %s/%s/-/admin/freeze      # also thaw, kill, restart, silence, drain, undrain
-  curl %s/%s/-/admin/ledger
-  curl -X PUT -d '{"outage":"refusing"}' %s/-/admin/faults
-
-Press Ctrl-C to end.
-`, host.Listen, prefix, host.Listen, prefix, host.Admin, host.Admin, operatorToken, host.Admin,
-		d.admin.URL, first.spec.ID, d.admin.URL, first.spec.ID, d.logHTTP.URL)
-}
