standin: the users' platform as a program

The store and the backend servers of the users' platform existed only inside tests and the soak, so nobody could start the product by hand. `standin deployment` serves the store, runs backend servers with heartbeats, all in one process and in memory, and injects faults over HTTP: a server leaves, is full, crashes, starts again; the store is away.

A backend server's process (start, crash, drain, heartbeats) moves from soak to platformtest.Instance, which both use; soak keeps its proxy and its checks.

Seen: the walk of two hosts and three servers by hand, as TestWalk takes it: an order is answered by the same server through both hosts; that server leaves, and the next order goes to another; one host is killed, and the other serves.

Tests changed: soak's tests read a server's backend by currentBackend() in place of the field that moved; no check differs. New: standin/deployment TestWalk, TestFaultsAreInjected, TestSettingsOfTheWalk, TestAnAddressInUseIsReported.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin runs a stand-in for the platform or for a backend server.
+// Command standin runs stand-ins: the users' platform with its store and backend servers,
+// or the log service or a backend server of the brief.
 package main
 
 import (
@@ -13,6 +14,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/lacewingsaddle/lacewingsaddle/standin/deployment"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/keyserver"
 	"github.com/lacewingsaddle/lacewingsaddle/standin/logsvc"
 )
@@ -36,7 +38,15 @@
 	Traits string `arg:"--traits" help:"the traits as a JSON object, such as {\"service_ms\":2,\"slots\":3}"`
 }
 
+type deploymentCmd struct {
+	Listen    string `arg:"--listen" default:"127.0.0.1:7000" help:"IP and port of the store; the calls that inject faults are under /-/"`
+	Servers   int    `arg:"--servers" default:"3" help:"backend servers"`
+	FirstPort int    `arg:"--first-port" default:"7201" help:"port of the first backend server, on 127.0.0.1; the others follow"`
+}
+
 type arguments struct {
+	Deployment *deploymentCmd `arg:"subcommand:deployment" help:"the users' platform: store and backend servers, in memory"`
+
 	Platform *platformCmd `arg:"subcommand:platform" help:"log service and host list"`
 	Backend  *backendCmd  `arg:"subcommand:backend" help:"backend server that owns keys"`
 }
@@ -46,12 +56,14 @@
 	parser := arg.MustParse(&args)
 	var err error
 	switch {
+	case args.Deployment != nil:
+		err = runDeployment(args.Deployment)
 	case args.Platform != nil:
 		err = runPlatform(args.Platform)
 	case args.Backend != nil:
 		err = runBackend(args.Backend)
 	default:
-		parser.Fail("a subcommand is needed: platform or backend")
+		parser.Fail("a subcommand is needed: deployment, platform or backend")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,6 +71,19 @@
 	}
 }
 
+func runDeployment(c *deploymentCmd) error {
+	var addresses []string
+	for i := range c.Servers {
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", c.FirstPort+i))
+	}
+	d, err := deployment.New(addresses)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return serve(c.Listen, d.Handler())
+}
+
 func runPlatform(c *platformCmd) error {
 	service := logsvc.NewWithConfig(logsvc.Config{
 		Retention:        c.Retention,
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -272,9 +272,7 @@
 }
 
 func (w *world) restartServer(s *server) {
-	if err := s.launch(); err != nil {
+	if err := s.instance.Start(); err != nil {
 		w.addViolation(ruleSoak, "cannot start %s: %v", s.id, err)
-		return
 	}
-	s.heartbeat()
 }
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -115,7 +115,7 @@
 			}
 			w.ledger.addUnanswered(a, err)
 			if c.reaches { // also after the close
-				require.Equal(t, 200, call(w.servers[0].backend, a.id, 7))
+				require.Equal(t, 200, call(w.servers[0].currentBackend(), a.id, 7))
 			}
 			w.ledger.checkUnanswered()
 			if !c.lost {
@@ -131,7 +131,7 @@
 
 // passOn sends a request through the host to the first server and passes on its answer.
 func passOn(t *testing.T, w *world, a *attempt) {
-	require.Equal(t, 200, call(w.servers[0].backend, a.id, 7))
+	require.Equal(t, 200, call(w.servers[0].currentBackend(), a.id, 7))
 	w.announcements.responsePassedOn(a, w.servers[0].id)
 }
 
@@ -157,7 +157,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w, h := newWorldWithHost(t)
-			leaving := w.servers[0].backend
+			leaving := w.servers[0].currentBackend()
 			passOn(t, w, newAttempt(h, "before", 0))
 			leaving.SetLeaving()
 			passOn(t, w, newAttempt(h, "after", 0))
@@ -168,7 +168,7 @@
 				c.prepare(w, h)
 			}
 			a := newAttempt(h, "late", c.age)
-			require.Equal(t, 200, call(w.servers[c.server].backend, a.id, keyOf(c.server)))
+			require.Equal(t, 200, call(w.servers[c.server].currentBackend(), a.id, keyOf(c.server)))
 			require.Equal(t, c.rules, rules(w))
 		})
 	}
@@ -177,7 +177,7 @@
 // An answer that the host has not passed on yet obliges it to nothing.
 func TestLeavingServerWhoseAnswerWasNotPassedOn(t *testing.T) {
 	w, h := newWorldWithHost(t)
-	backend := w.servers[0].backend
+	backend := w.servers[0].currentBackend()
 	backend.SetLeaving()
 	require.Equal(t, 200, call(backend, newAttempt(h, "r", 0).id, 7))
 	require.Empty(t, w.announcements.passedOn)
@@ -215,7 +215,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w, h := newWorldWithHost(t)
-			backend := w.servers[0].backend
+			backend := w.servers[0].currentBackend()
 			backend.SetFull(4*time.Second, c.form)
 			require.Equal(t, http.StatusServiceUnavailable, call(backend, newAttempt(h, "first", 0).id, 7))
 			backend.SetFull(0, c.form) // it has room before the time is over
@@ -261,10 +261,10 @@
 	s := w.servers[0]
 	s.draining, s.drainAckedAt = true, time.Now().Add(-time.Minute)
 	h.stops[h.launches.Load()] = time.Now()
-	require.Equal(t, 200, call(s.backend, "1", 7))
+	require.Equal(t, 200, call(s.currentBackend(), "1", 7))
 	require.Empty(t, rules(w))
 	h.stops[h.launches.Load()] = time.Now().Add(-2 * undisturbedPeriod)
-	require.Equal(t, 200, call(s.backend, "2", 7))
+	require.Equal(t, 200, call(s.currentBackend(), "2", 7))
 	require.Equal(t, []string{ruleDrain}, rules(w))
 }
 
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -12,10 +10,6 @@
 )
 
 const (
-	// heartbeatInterval is the pause between the heartbeats of a backend server,
-	// heartbeatExpiry the time without one after which its entry is removed.
-	heartbeatInterval = 500 * time.Millisecond
-	heartbeatExpiry   = 2400 * time.Millisecond
 	// serviceName is the service of all backend servers.
 	serviceName = "stock"
 	// firstServerIndex is the index of the first server's loopback address.
@@ -24,58 +18,47 @@
 	requestDuration = 60 * time.Millisecond
 )
 
-// server is a backend server behind a proxy. It keeps its address and id over
-// restarts, but nothing that it was granted.
+// server is a backend server behind a proxy.
 type server struct {
-	w          *world
-	id         string
-	proxy      *Proxy
-	listenAddr string
+	w        *world
+	id       string
+	proxy    *Proxy
+	instance *platformtest.Instance
 
-	mu            sync.Mutex
-	backend       *platformtest.Backend // nil while it is down
-	http          *http.Server
-	startedAt     int64
-	seq           int
-	draining      bool
-	drainAckedAt  time.Time // when the store acknowledged that it drains
-	listed        bool      // the store has an entry of it
-	lastHeartbeat time.Time
+	mu           sync.Mutex
+	draining     bool
+	drainAckedAt time.Time // when the store acknowledged that it drains
 
 	faultMu sync.Mutex // held while a fault of the server is in force
 }
 
 func newServer(w *world, i int) (*server, error) {
 	s := &server{w: w, id: fmt.Sprintf("s-%d", i)}
-	s.listenAddr = w.cfg.address(firstServerIndex+i, trafficPort)
+	listen := w.cfg.address(firstServerIndex+i, trafficPort)
 	var err error
-	if s.proxy, err = NewProxy(s.listenAddr); err != nil {
+	if s.proxy, err = NewProxy(listen); err != nil {
 		return nil, err
 	}
-	if err := s.launch(); err != nil {
-		return nil, err
+	s.instance = &platformtest.Instance{
+		ID:      s.id,
+		Service: serviceName,
+		Store:   w.store,
+		Listen:  listen,
+		Address: s.proxy.Address(),
+		OnStart: s.begin,
+		OnEnd:   w.ledger.removeBackend,
 	}
-	s.heartbeat()
-	return s, nil
+	return s, s.instance.Start()
 }
 
-// launch starts the server with a new backend.
-func (s *server) launch() error {
-	lis, err := net.Listen("tcp", s.listenAddr)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	backend := platformtest.NewBackend(s.id)
+// begin prepares a backend that is about to serve.
+func (s *server) begin(backend *platformtest.Backend) {
 	backend.ResponseDelay = requestDuration
 	s.watch(backend)
-	s.backend, s.startedAt, s.seq, s.draining = backend, time.Now().UnixMilli(), 0, false
-	s.http = &http.Server{Handler: backend}
-	server := s.http
-	go func() { _ = server.Serve(lis) }() // returns when the server is closed
+	s.mu.Lock()
+	s.draining = false
+	s.mu.Unlock()
 	s.w.ledger.addBackend(s, backend)
-	return nil
 }
 
 // watch makes the checks see what happens at a backend.
@@ -95,28 +78,14 @@
 }
 
 // crash stops the server at once, without draining.
-func (s *server) crash() {
-	s.mu.Lock()
-	backend, server := s.backend, s.http
-	s.backend = nil
-	s.mu.Unlock()
-	if backend == nil {
-		return
-	}
-	s.w.ledger.removeBackend(backend)
-	_ = server.Close() // closes its connections too
-	backend.CloseConns()
-}
+func (s *server) crash() { s.instance.Crash() }
 
 // drain publishes that the server is draining. The server goes on serving.
 func (s *server) drain() {
+	s.instance.Drain()
 	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.heartbeat()
-	s.mu.Lock()
-	s.drainAckedAt = time.Now()
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.draining, s.drainAckedAt = true, time.Now()
 }
 
 // drainingSince returns when the store acknowledged that the server drains, or zero
@@ -130,41 +99,7 @@
 	return s.drainAckedAt
 }
 
-func (s *server) currentBackend() *platformtest.Backend {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.backend
-}
-
-// heartbeat writes the server's entry to the store, unless the server is down.
-func (s *server) heartbeat() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.backend == nil {
-		return
-	}
-	s.seq++
-	s.w.store.PutServer(platformtest.Server{
-		ID:       s.id,
-		Address:  s.proxy.Address(),
-		Born:     s.startedAt,
-		Service:  serviceName,
-		Draining: s.draining,
-		Seq:      s.seq,
-	})
-	s.listed, s.lastHeartbeat = true, time.Now()
-}
-
-// removeExpired removes the entry of a server that is down and has sent no heartbeat
-// for heartbeatExpiry.
-func (s *server) removeExpired() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listed && s.backend == nil && time.Since(s.lastHeartbeat) > heartbeatExpiry {
-		s.listed = false
-		s.w.store.RemoveServer(s.id)
-	}
-}
+func (s *server) currentBackend() *platformtest.Backend { return s.instance.Backend() }
 
 func (s *server) close() {
 	s.crash()
@@ -174,17 +109,9 @@
 // runHeartbeats sends the heartbeats of all backend servers and removes expired
 // entries until ctx ends.
 func (w *world) runHeartbeats(ctx context.Context) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-		for _, s := range w.servers {
-			s.heartbeat()
-			s.removeExpired()
-		}
+	var instances []*platformtest.Instance
+	for _, s := range w.servers {
+		instances = append(instances, s.instance)
 	}
+	platformtest.RunHeartbeats(ctx, instances)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,10 +39,10 @@
 // newBackend returns a server without a listener and its backend, registered with
 // the ledger.
 func newBackend(w *world, id string) (*server, *platformtest.Backend) {
-	s := &server{w: w, id: id}
+	s := &server{w: w, id: id, instance: &platformtest.Instance{ID: id, Store: w.store}}
 	backend := platformtest.NewBackend(id)
 	s.watch(backend)
-	s.backend = backend
+	s.instance.Use(backend)
 	w.servers = append(w.servers, s)
 	w.ledger.addBackend(s, backend)
 	return s, backend
