gateway: a closed connection lowers the limit on a server's requests

Change: what counts as a rejection in the reports to the assigner now counts for the limiter as well. The outcome told to callers is as before: a request that was sent and got no response stays unknown, and is sent again only within the budget and if it is idempotent.

Ruled out: that a reset which is no sign of load costs much.

Not separated: a response 500 to an idempotent request is of the same kind as a closed connection, and lowers the limit too.

Calls of release in the other tests pass the error in place of two flags; nothing that they check has changed.

--- a/gateway/decisions_test.go
+++ b/gateway/decisions_test.go
@@ -60,12 +60,12 @@
 			go func() {
 				if l.acquire(ctx, priority, time.Second) == nil {
 					order = append(order, priority)
-					l.release(time.Millisecond, time.Second, false, false)
+					l.release(time.Millisecond, time.Second, nil)
 				}
 			}()
 			synctest.Wait()
 		}
-		l.release(time.Millisecond, time.Second, false, false)
+		l.release(time.Millisecond, time.Second, nil)
 		synctest.Wait()
 		require.Equal(t, []int{0, 1, 2}, order)
 	})
@@ -92,7 +92,7 @@
 	late := func(n int) {
 		for range n {
 			l.inFlight++
-			l.release(time.Second, 600*time.Millisecond, false, false)
+			l.release(time.Second, 600*time.Millisecond, nil)
 		}
 	}
 	late(20)
@@ -101,11 +101,11 @@
 	require.Equal(t, minLimit, l.limit)
 	for range 40 {
 		l.inFlight = int(l.limit)
-		l.release(100*time.Millisecond, 600*time.Millisecond, false, false)
+		l.release(100*time.Millisecond, 600*time.Millisecond, nil)
 	}
 	require.Greater(t, l.limit, 6.0)
 	l.inFlight = 1
-	l.release(0, time.Second, true, true)
+	l.release(0, time.Second, fault.New(fault.NotAccepted, "shed"))
 	require.Less(t, l.limit, 6.0)
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -91,7 +91,7 @@
 	}
 	start := time.Now()
 	a, err := g.send(q, s)
-	s.limiter.release(time.Since(start), q.target(), isShed(err), err != nil)
+	s.limiter.release(time.Since(start), q.target(), err)
 	return a, err
 }
 
@@ -105,9 +105,14 @@
 	return kind == fault.NotAccepted || kind == fault.Overloaded
 }
 
-// isRejection reports whether an error may mean that the server was full: some servers
-// close the connections of requests in their queue.
-func isRejection(err error) bool { return isShed(err) || fault.KindOf(err) == fault.AnswerCut }
+// isRejection reports whether an error may mean that the server was full. It answers
+// servers that shed load by closing the connections of requests in their queue: to count
+// only responses that say so would let every host keep its limit while such a server
+// drops what it is sent. The cost of a wrong guess is small, as the limit rises with the
+// next responses.
+func isRejection(err error) bool {
+	return err != nil && (isShed(err) || fault.KindOf(err) == fault.AnswerCut)
+}
 
 // send sends q once and classifies the response.
 func (g *Gateway) send(q *request, s *server) (*upstream.Response, error) {
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -14,7 +14,7 @@
 	minLimit = 1.0
 	// lateDecrease is the factor that is applied to the limit after a response
 	// that took longer than lateShare of the latency target, shedDecrease the one
-	// after the server shed a request.
+	// after a rejection.
 	lateDecrease = 0.93
 	shedDecrease = 0.7
 	// lateShare is the share of the latency target that a response may take.
@@ -140,23 +140,23 @@
 }
 
 // release ends an admitted request, adjusts the limit to its outcome and admits
-// the next waiters.
-func (l *limiter) release(took, target time.Duration, shed, failed bool) {
+// the next waiters. err is the error of its send, or nil.
+func (l *limiter) release(took, target time.Duration, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.adjust(took, target, shed, failed)
+	l.adjust(took, target, err)
 	l.inFlight--
 	l.admit()
 }
 
 // adjust changes the limit after a request. l.mu must be held.
-func (l *limiter) adjust(took, target time.Duration, shed, failed bool) {
+func (l *limiter) adjust(took, target time.Duration, err error) {
 	switch {
-	case shed:
+	case isRejection(err):
 		l.limit = max(l.limit*shedDecrease, minLimit)
 	case took > time.Duration(lateShare*float64(target)):
 		l.limit = max(l.limit*lateDecrease, minLimit)
-	case !failed && float64(l.inFlight) >= l.limit-1:
+	case err == nil && float64(l.inFlight) >= l.limit-1:
 		l.limit = min(l.limit+1/l.limit, l.ceiling)
 	}
 }
--- a/gateway/servers_test.go
+++ b/gateway/servers_test.go
@@ -27,7 +27,7 @@
 		s.sweep(time.Now(), &directory.Snapshot{})
 		require.Same(t, first, s.get(v, limit))
 		for range limit + 1 {
-			first.limiter.release(time.Millisecond, time.Second, false, false)
+			first.limiter.release(time.Millisecond, time.Second, nil)
 		}
 		require.NoError(t, <-waited)
 		s.sweep(time.Now(), &directory.Snapshot{})
