upstream: a request that has ended is not sent any more

At the end of a planned stop a caller was told "outcome unknown" (504) for a request that had not been sent when its host gave it up, and the request ran all the same; requests whose callers had left reached a server.

Cause: an exchange watches its context from the write on, in a goroutine of its own. A context that ended before, while the new connection was watched or a kept one was taken, was not looked at, and the write was the faster one.

The context is looked at once the connection is there, where the guard is asked, too: a request that has ended before is "not sent", so it is refused truly, and its connection is kept.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -21,6 +21,10 @@
 			return nil, s.notSentError(ctx, err)
 		}
 	}
+	if err := s.notSentError(ctx, nil); err != nil {
+		s.putIdle(c)
+		return nil, err
+	}
 	if err := s.checkGuard(c, req); err != nil {
 		return nil, err
 	}
@@ -29,8 +33,8 @@
 	return x.run()
 }
 
-// notSentError returns the error of a request whose dial failed with err: NotSent if
-// ctx has ended, else err.
+// notSentError returns the error of a request that is not sent, as its dial failed with
+// err: NotSent if ctx has ended, else err.
 func (s *Server) notSentError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return fault.Wrap(fault.NotSent, ctx.Err(), "the request ended before it was sent")
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -281,6 +282,36 @@
 	})
 }
 
+// Guards against a request that was sent although it had ended, and could not be refused as
+// not run any more: its host had given it up, or its caller had left.
+func TestRequestThatHasEndedIsNotSent(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("kept connection=%t", kept), func(t *testing.T) {
+			withScript(t, []string{okHead + "Content-Length: 0\r\n\r\n"}, func(t *testing.T, s *Server, sc *scriptedServer) {
+				ctx, cancel := context.WithCancel(t.Context())
+				if kept {
+					_, err := s.Do(t.Context(), request("a"))
+					require.NoError(t, err)
+					cancel()
+				} else {
+					time.AfterFunc(resetGrace/2, cancel) // while the new connection is watched
+				}
+				_, err := s.Do(ctx, request("b"))
+				require.Equal(t, fault.NotSent, fault.KindOf(err))
+				synctest.Wait()
+				sent := 0
+				if kept {
+					sent = 1
+				}
+				require.Len(t, sc.got, sent)
+				open, idle := s.counts()
+				require.Equal(t, 1, open)
+				require.Equal(t, 1, idle)
+			})
+		})
+	}
+}
+
 // Whatever a server sends, Do never returns a response to another request, nor an
 // incomplete response as a complete one.
 func FuzzAnswer(f *testing.F) {
