gateway: two new tests are free of data races

The fake server of TestAnswerReachesACallerThatStallsInAnUpload read the next request beside the body of the last, and TestRequestThatMissedTheEviction... set the gateway's control while requests used it.

--- a/gateway/stalledupload_test.go
+++ b/gateway/stalledupload_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,9 +40,14 @@
 	const answerAfter = 100 * time.Millisecond
 	early := func(status int, lines string) backendFunc {
 		return func(conn net.Conn, req *http.Request) bool {
-			go func() { _, _ = io.Copy(io.Discard, req.Body) }() // it reads on
-			time.Sleep(answerAfter)
-			return reply(conn, req, status, lines, "")
+			var answer sync.WaitGroup
+			answer.Go(func() {
+				time.Sleep(answerAfter)
+				reply(conn, req, status, lines, "")
+			})
+			_, _ = io.Copy(io.Discard, req.Body) // it reads on; the body breaks off
+			answer.Wait()
+			return false
 		}
 	}
 	cases := []struct {
--- a/gateway/standing_test.go
+++ b/gateway/standing_test.go
@@ -384,9 +384,15 @@
 func TestRequestThatMissedTheEvictionDoesNotWait(t *testing.T) {
 	withTestGateway(t, func(t *testing.T, b *testGateway) {
 		b.watch(map[string]*scripted{"s1": {status: http.StatusOK, takes: time.Second}})
-		done := b.occupy("/look/1")
+		var occupied atomic.Bool
 		pause := http.Header{"Retry-After": {"5"}}
-		b.gateway.control = eventControl{b.control, func() { b.gateway.observe(holder("s1"), http.StatusServiceUnavailable, pause) }}
+		b.gateway.control = eventControl{b.control, func() {
+			if occupied.Load() {
+				b.gateway.observe(holder("s1"), http.StatusServiceUnavailable, pause)
+			}
+		}}
+		done := b.occupy("/look/1")
+		occupied.Store(true)
 		took, retry := b.refusedIn(t, "/book/1", "late")
 		require.Zero(t, took)
 		require.GreaterOrEqual(t, retry, 5*time.Second)
