--- a/standin/deployment/deployment_test.go
+++ b/standin/deployment/deployment_test.go
@@ -30,8 +30,14 @@
 	stopGrace = 3 * time.Second
 )
 
-// loopback returns the address of the i-th participant, which no other test uses.
-func loopback(i, port int) string { return fmt.Sprintf("127.211.1.%d:%d", i, port) }
+// networks is the number of loopback networks among which test processes choose, so that
+// those which run at the same time rarely share one.
+const networks = 250
+
+// ip returns the loopback address of the i-th participant.
+func ip(i int) string { return fmt.Sprintf("127.211.%d.%d", os.Getpid()%networks, i) }
+
+func loopback(i, port int) string { return fmt.Sprintf("%s:%d", ip(i), port) }
 
 // newDeployment starts a deployment of three servers and returns the address at which it
 // is served.
@@ -48,7 +54,7 @@
 func startHost(t *testing.T, i int, store string) string {
 	text := platformtest.Settings{
 		Host:      fmt.Sprintf("entry-%d", i),
-		IP:        fmt.Sprintf("127.211.1.%d", i),
+		IP:        ip(i),
 		Traffic:   loopback(i, 7111),
 		Readiness: loopback(i, 7112),
 		Peer:      loopback(i, 7113),
