--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -48,8 +48,8 @@
 	return c.sendGrant(ctx, a)
 }
 
-// sendGrant sends a grant to its owner. The answers to grants are the only ones of a
-// server that gets no requests: it may say in them that it leaves.
+// sendGrant sends a grant to its owner. The answers to grants and releases are the only
+// ones of a server that gets no requests: it may say in them that it leaves.
 func (c *Cluster) sendGrant(ctx context.Context, a assigner.Grant) (GrantAnswer, error) {
 	answer, err := c.backends.Grant(ctx, a)
 	if answer.Leaving {
@@ -62,7 +62,8 @@
 // another host makes the call.
 func (c *Cluster) release(ctx context.Context, a assigner.Release) {
 	c.stats.Releases.Inc(1)
-	handover, result, err := c.backends.Release(ctx, a.Address, a.Range)
+	answer, err := c.sendRelease(ctx, a.Address, a.Range)
+	result, handover := answer.Result, answer.Handover
 	if !serverAnswered(result) {
 		call := hostlink.RelayRequest{Address: a.Address, Range: a.Range, Release: true}
 		relayed := c.relay(call, result, c.cfg.Clock()+releaseTimeout)
@@ -73,6 +74,18 @@
 	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
 }
 
+// sendRelease sends a release to the server at an address. The one that was listed there when
+// the call was sent counts as the one that answers: a release takes long, and the next process
+// at the address does not leave.
+func (c *Cluster) sendRelease(ctx context.Context, addr string, r keyrange.Range) (ReleaseAnswer, error) {
+	listed := c.View().Servers.At(addr)
+	answer, err := c.backends.Release(ctx, addr, r)
+	if answer.Leaving && listed != nil {
+		c.AddLeaving(listed.Holder)
+	}
+	return answer, err
+}
+
 // grantEvent describes the result of a grant or release for the log.
 func grantEvent(r keyrange.Range, server keyrange.Holder, result assigner.CallResult, err error) event.GrantCall {
 	return event.GrantCall{
--- a/cluster/leaving_test.go
+++ b/cluster/leaving_test.go
@@ -119,6 +119,22 @@
 	})
 }
 
+// The answer to a release, which comes late, may be the first to say that a server leaves. It
+// counts for the process that was listed at the address when the release was sent.
+func TestAnswerToAReleaseSaysThatTheServerLeaves(t *testing.T) {
+	none := keyrange.Range{From: 1, To: 1} // keys without a request
+	withDeployment(t, 4, 6, func(w *world) {
+		s := w.server("s1")
+		w.setServer("s1", func(s *fakeServer) { s.leavingInReleases = true })
+		_, err := w.host(w.followers()[0]).sendRelease(context.Background(), s.addr, none)
+		require.NoError(t, err)
+		w.watch(drainBound)
+		w.requireDrainingEverywhere(t, s.holder)
+		require.Zero(t, w.keysOfServer(s.holder))
+		require.Equal(t, sampled, w.heldKeys())
+	})
+}
+
 // knownLeaving returns the servers that a host knows to leave.
 func (c *Cluster) knownLeaving() []keyrange.Holder {
 	out, _ := query(context.Background(), c, c.leaving.known.Holders)
--- a/cluster/ports.go
+++ b/cluster/ports.go
@@ -70,12 +70,19 @@
 	Attributed bool
 }
 
+// ReleaseAnswer is the outcome of a release.
+type ReleaseAnswer struct {
+	Result   assigner.CallResult
+	Handover string // token of the holder's state; empty unless the release was done
+	Leaving  bool   // the server answered that it leaves
+}
+
 // Backends sends grants and releases to backend servers.
 type Backends interface {
 	// Grant makes a grant. If it is decisive, its answer is attributed to it where that is
 	// possible, at the cost of a new connection.
 	Grant(ctx context.Context, g assigner.Grant) (GrantAnswer, error)
-	Release(ctx context.Context, addr string, r keyrange.Range) (handover string, result assigner.CallResult, err error)
+	Release(ctx context.Context, addr string, r keyrange.Range) (ReleaseAnswer, error)
 	// Probe connects to an address. The error tells whether a process listens there.
 	Probe(ctx context.Context, addr string) error
 	// Close closes idle connections.
--- a/cluster/relay.go
+++ b/cluster/relay.go
@@ -126,7 +126,9 @@
 	out := &hostlink.RelayResponse{}
 	var err error
 	if call.Release {
-		out.Handover, out.Result, err = c.backends.Release(ctx, call.Address, call.Range)
+		var answer ReleaseAnswer
+		answer, err = c.sendRelease(ctx, call.Address, call.Range)
+		out.Result, out.Handover = answer.Result, answer.Handover
 	} else {
 		var answer GrantAnswer
 		answer, err = c.sendGrant(ctx, relayedGrant(call))
--- a/cluster/world_test.go
+++ b/cluster/world_test.go
@@ -246,9 +246,11 @@
 	// applyDelay is the delay with which an unanswered grant is applied.
 	applyDelay time.Duration
 	service    string // empty for stockName
-	leaving    bool   // its answers to grants say that it leaves
-	seen       [sampled]keyrange.Fence
-	until      [sampled]time.Time
+	leaving    bool   // its answers to grants and releases say that it leaves
+	// leavingInReleases is set if only its answers to releases say so.
+	leavingInReleases bool
+	seen              [sampled]keyrange.Fence
+	until             [sampled]time.Time
 }
 
 // world is a simulated deployment in virtual time.
@@ -571,25 +573,25 @@
 }
 
 // Release implements Backends.
-func (w *world) Release(ctx context.Context, addr string, r keyrange.Range) (string, assigner.CallResult, error) {
+func (w *world) Release(ctx context.Context, addr string, r keyrange.Range) (ReleaseAnswer, error) {
 	if err := wait.Sleep(ctx, hop); err != nil {
-		return "", assigner.CallFailed, err
+		return ReleaseAnswer{Result: assigner.CallFailed}, err
 	}
 	w.mu.Lock()
 	s, err := w.reach(addr)
 	if err == nil && s.mute {
 		w.mu.Unlock()
 		<-ctx.Done()
-		return "", assigner.CallFailed, ctx.Err()
+		return ReleaseAnswer{Result: assigner.CallFailed}, ctx.Err()
 	}
 	defer w.mu.Unlock()
 	if err != nil {
-		return "", assigner.CallRefused, err
+		return ReleaseAnswer{Result: assigner.CallRefused}, err
 	}
 	for _, k := range keysOf(r) {
 		s.seen[k], s.until[k] = max(s.seen[k], r.Fence), time.Time{}
 	}
-	return "state", assigner.CallOK, nil
+	return ReleaseAnswer{Result: assigner.CallOK, Handover: "state", Leaving: s.leaving || s.leavingInReleases}, nil
 }
 
 // Close implements Backends.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -130,6 +130,19 @@
 	return slices.ContainsFunc(s.Servers, at) || slices.ContainsFunc(s.removed, at)
 }
 
+// At returns the server that is registered at an address, or nil. If several are, as after
+// a restart that the entries do not show yet, it is the one that started last.
+func (s *Snapshot) At(addr string) *Server {
+	var out *Server
+	for i := range s.Servers {
+		v := &s.Servers[i]
+		if v.Address == addr && (out == nil || v.Holder.StartedMS > out.Holder.StartedMS) {
+			out = v
+		}
+	}
+	return out
+}
+
 // Fold returns the snapshot after the changes up to the offset next.
 func (s *Snapshot) Fold(changes []Change, next uint64) *Snapshot {
 	if next <= s.Next && len(changes) == 0 {
