--- a/assigner/weights.go
+++ b/assigner/weights.go
@@ -20,13 +20,9 @@
 // newWeights returns the weights of a service's keys.
 func newWeights(l *keyLoads) *weights {
 	w := &weights{sum: make([]float64, keyrange.KeyCount+1), requests: l.total}
-	for i, c := range l.count {
-		w.sum[i+1] = w.sum[i] + float64(c)
-	}
-	smooth(w.sum)
 	even := uniformShare*l.total/float64(keyrange.KeyCount) + 1/float64(keyrange.KeyCount)
-	for i := range w.sum {
-		w.sum[i] += float64(i) * even
+	for i, c := range l.count {
+		w.sum[i+1] = w.sum[i] + float64(c) + even
 	}
 	w.total = w.sum[keyrange.KeyCount]
 	return w
