--- a/gateway/limiter_test.go
+++ b/gateway/limiter_test.go
@@ -77,7 +77,7 @@
 	for now := time.Duration(0); now < length; now += step {
 		for i, l := range limiters {
 			inFlight[i] = releaseEnded(l, inFlight[i], now, target)
-			if rng.Float64() >= perSecond*step.Seconds()/hosts || l.acquire(t.Context(), 0, 0) != nil {
+			if rng.Float64() >= perSecond*step.Seconds()/hosts || l.acquire(t.Context(), 0, 0, alwaysEligible) != nil {
 				continue
 			}
 			took, dropped := server.take(now)
