gateway: a refusal reaches a caller that stalls in its body

What callers saw: no answer. A request that is refused before its body is read (no route, no key, too long) was answered only once the caller had sent the rest of a short body: net/http reads up to 256 KiB of it before it writes the head.

Cause: only uploads beyond 1 MB counted as having an unread body (closeIfLast).

A request now counts as unread until its whole body has been read; its refusal closes the connection.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,9 +35,10 @@
 	uri     string
 	header  http.Header
 
-	body   []byte
-	rest   *upload // follows body; nil if body is complete
-	length int64   // -1 when unknown
+	body     []byte
+	rest     *upload // follows body; nil if body is complete
+	length   int64   // -1 when unknown
+	bodyRead bool    // body is the whole body
 
 	arrived  time.Time
 	queuedAt time.Time // start of the present wait for an owner and the limiter
@@ -178,6 +179,7 @@
 		if _, err := io.ReadFull(q.in.Body, q.body); err != nil {
 			return errUnreadableBody(err)
 		}
+		q.bodyRead = true
 		return nil
 	}
 	prefix, err := io.ReadAll(io.LimitReader(q.in.Body, min(maxBufferedBody, limit+1)))
@@ -190,6 +192,7 @@
 	q.body = prefix
 	if len(prefix) < maxBufferedBody {
 		q.length = int64(len(prefix))
+		q.bodyRead = true
 		return nil
 	}
 	q.rest = &upload{from: q.in.Body, limit: limit, left: limit - maxBufferedBody}
--- a/gateway/upload.go
+++ b/gateway/upload.go
@@ -33,7 +33,12 @@
 }
 
 // bodyIsUnread reports whether the request is answered before its whole body was read.
-func (q *request) bodyIsUnread() bool { return q.rest != nil && !q.rest.complete.Load() }
+func (q *request) bodyIsUnread() bool {
+	if q.rest != nil {
+		return !q.rest.complete.Load()
+	}
+	return q.in.ContentLength != 0 && !q.bodyRead
+}
 
 // errBodyTooLarge returns the error of a body that exceeds the limit.
 func errBodyTooLarge(limit int64) error {
