--- a/assigner/balance.go
+++ b/assigner/balance.go
@@ -95,11 +95,11 @@
 
 // moveIsDue reports whether keys should move from one server to another.
 //
-// It answers an even load of a few requests a second at each server: some server is then
-// always well above the mean by chance. Keys that move have no owner until their holder
-// has finished the requests that run on them, so a move for noise only makes callers
-// wait. An idle receiver, such as a server that has just joined, is no noise: then a
-// smaller excess is enough, as the others share its load.
+// At an even load of a few requests a second at each server, some server is always well
+// above the mean by chance. Keys that move have no owner until their holder has finished
+// the requests that run on them, so a move for noise only makes callers wait. An idle
+// receiver has probably just joined: then a smaller excess is enough, as the others share
+// its load.
 func moveIsDue(giver, receiver share) bool {
 	if giver.load < giver.fair*imbalanceFactor {
 		return false
--- a/assigner/ranges.go
+++ b/assigner/ranges.go
@@ -24,9 +24,9 @@
 
 	grantOutstanding bool
 	needsToken       bool // the owner has seen a higher token
-	// unproven is set until the owner has accepted a grant under a token of this
-	// epoch in a response that is certainly to that grant; until then grants from earlier
-	// assigners may still be valid.
+	// unproven is set until grants from earlier assigners no longer count: the owner has
+	// accepted a grant under a token of this epoch in a response that is certainly to that
+	// grant, or its hold lasts at least as long as any of theirs.
 	unproven  bool
 	nextGrant Time
 	releases  []*releaseCall
--- a/cluster/calls.go
+++ b/cluster/calls.go
@@ -74,9 +74,9 @@
 	c.post(func() { c.machine.StepReleased(c.cfg.Clock(), e) })
 }
 
-// sendRelease sends a release to the server at an address. The one that was listed there when
-// the call was sent counts as the one that answers: a release takes long, and the next process
-// at the address does not leave.
+// sendRelease sends a release to the server at an address. If the answer says that the server
+// leaves, this counts for the process that was listed there when the call was sent: a release
+// may take long, and a process that starts at the address meanwhile has not said so.
 func (c *Cluster) sendRelease(ctx context.Context, addr string, r keyrange.Range) (ReleaseAnswer, error) {
 	listed := c.View().Servers.At(addr)
 	answer, err := c.backends.Release(ctx, addr, r)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,7 +28,7 @@
 	Hosts    int           `arg:"--hosts" default:"4" help:"entry hosts"`
 	Backends int           `arg:"--backends" default:"6" help:"backend servers"`
 	Clients  int           `arg:"--clients" default:"10" help:"callers"`
-	Work     soak.Work     `arg:"--work" default:"faults" help:"what happens: faults, planned (planned work alone), both or tour (each kind once)"`
+	Work     soak.Work     `arg:"--work" default:"faults" help:"what happens: faults, planned (planned work alone), both or tour (a fixed sequence)"`
 	Dir      string        `arg:"--dir" help:"directory for settings and logs; default: a temporary one"`
 	Verbose  bool          `arg:"--verbose" help:"print the faults of every seed, not only of those with violations"`
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -130,8 +130,8 @@
 	return slices.ContainsFunc(s.Servers, at) || slices.ContainsFunc(s.removed, at)
 }
 
-// At returns the server that is registered at an address, or nil. If several are, as after
-// a restart that the entries do not show yet, it is the one that started last.
+// At returns the server at an address, or nil. If a server was replaced and its entry is
+// still listed, that is the one that started last.
 func (s *Snapshot) At(addr string) *Server {
 	var out *Server
 	for i := range s.Servers {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -260,7 +260,8 @@
 }
 
 // Kill ends a host at once, as a crash of its process would: it does not resign, and it
-// closes callers' connections without an answer. A host that is stopping is not killed.
+// closes callers' connections without an answer. Call it at most once, and not together
+// with Stop: both close h.stopping.
 func (h *Host) Kill() {
 	close(h.stopping)
 	h.stop()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -106,11 +106,10 @@
 	return kind == fault.NotAccepted || kind == fault.Overloaded
 }
 
-// isRejection reports whether an error may mean that the server was full. It answers
-// servers that shed load by closing the connections of requests in their queue: to count
-// only responses that say so would let every host keep its limit while such a server
-// drops what it is sent. The cost of a wrong guess is small, as the limit rises with the
-// next responses.
+// isRejection reports whether an error may mean that the server was full. Some servers shed
+// load by closing the connections of requests in their queue: if only responses that say
+// so counted, every host would keep its limit while such a server drops what it is sent.
+// A wrong guess costs little, as the limit rises with the next responses.
 func isRejection(err error) bool {
 	return err != nil && (isShed(err) || fault.KindOf(err) == fault.AnswerCut)
 }
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -58,8 +58,9 @@
 // time without sharing loopback addresses.
 const maxConcurrentSeeds = 200
 
-// localNetworks is the number of networks of runs with hosts in this process, which
-// follow those of the seeds.
+// localNetworks is the number of networks of runs with hosts in this process, 127.201 to
+// 127.209, after those of the seeds. Runs whose process ids are equal modulo this number
+// share one, and the second fails to start.
 const localNetworks = 9
 
 // address returns the loopback address of the i-th process of a run.
--- a/soak/process.go
+++ b/soak/process.go
@@ -44,7 +44,8 @@
 
 func (p programProcess) wait() error { return p.cmd.Wait() }
 
-// localProcess runs an entry host in this process. It handles SIGTERM, SIGKILL and SIGHUP.
+// localProcess runs an entry host in this process. It handles SIGTERM,
+// SIGKILL and SIGHUP; only the first of SIGTERM and SIGKILL counts.
 type localProcess struct {
 	host     *edge.Host
 	settings platform.Settings
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,7 +46,7 @@
 	Faults  Work = "faults"  // faults, and single planned stops
 	Planned Work = "planned" // planned work alone
 	Both    Work = "both"
-	Tour    Work = "tour" // each kind of fault and of planned work once
+	Tour    Work = "tour" // a fixed sequence of single faults and planned work
 )
 
 // Works lists all kinds of work.
--- a/trial/command.go
+++ b/trial/command.go
@@ -20,8 +20,8 @@
 	exitUsage  = 2
 )
 
-// Hosts and backend servers. The upper bounds keep a trial within one machine's means,
-// the lower ones leave a host and a server that serve while others do not.
+// Hosts and backend servers. The upper bounds keep a trial within the processors and memory
+// of a laptop; the lower ones leave a host and a server that serve while others do not.
 const (
 	minHosts, maxHosts       = 2, 16
 	minBackends, maxBackends = 3, 50
