--- a/review/standin/budget.go
+++ b/review/standin/budget.go
@@ -15,11 +15,11 @@
 	// lostShare and lossLasts are the dose of answer_lost in the site file.
 	lostShare = 0.4
 	lossLasts = 4 * time.Second
-	// upstreams is the number of upstreams, of which lossyShare lose answers, and of which
-	// each scale_in drains drained.
-	upstreams  = 23
-	lossyShare = 0.6
-	drained    = 5
+	// upstreams is the number of upstreams, of which lossy lose answers (a share of 0.57, at
+	// most 0.6), and of which each scale_in drains drained (0.22, at most 0.25).
+	upstreams = 23
+	lossy     = 13
+	drained   = 5
 	// lookupsPerSecond is the load.
 	lookupsPerSecond = 300
 	// drainGap is the pause between the two scale_in of the case.
@@ -52,7 +52,7 @@
 	loses := func() bool { return time.Now().UnixNano() < lossUntil.Load() && rand.Float64() < lostShare }
 	for i := range upstreams {
 		u := &upstream{id: fmt.Sprintf("i-7f3a91%02d", i), service: "grower-portal", sharded: true, slots: 6, work: workOf(160 * time.Millisecond)}
-		if float64(i) < lossyShare*upstreams {
+		if i < lossy {
 			u.loses = loses
 		}
 		if err := w.addUpstream(u); err != nil {
